Lay out the tree with the table, settings, log replica and data folder

Change: a library for each idea under lib/, layers checked by CMake; the service table as an aggregate, checked YAML settings, the replicated log as a core without I/O, and its data folder.

--- /dev/null
+++ b/cmake/Layers.cmake
@@ -0,0 +1,23 @@
+# One library target for each folder of lib/. A library names only libraries of
+# lower layers, which is checked here, so that nothing includes upward.
+set(ACACIAHOLD_LAYERS
+    Support Yaml Observe Table Config Wire Consensus Storage Upstream Membership
+    Steering Request Host Operator)
+
+function(acaciahold_library name)
+  cmake_parse_arguments(ARG "" "" "USES;LINKS" ${ARGN})
+  list(FIND ACACIAHOLD_LAYERS ${name} own_layer)
+  if(own_layer EQUAL -1)
+    message(FATAL_ERROR "library ${name} has no place in ACACIAHOLD_LAYERS")
+  endif()
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/*.cc)
+  add_library(acaciahold_${name} STATIC ${sources})
+  target_link_libraries(acaciahold_${name} PUBLIC acaciahold_options ${ARG_LINKS})
+  foreach(used ${ARG_USES})
+    list(FIND ACACIAHOLD_LAYERS ${used} used_layer)
+    if(used_layer EQUAL -1 OR NOT used_layer LESS own_layer)
+      message(FATAL_ERROR "library ${name} may not use ${used}: not a lower layer")
+    endif()
+    target_link_libraries(acaciahold_${name} PUBLIC acaciahold_${used})
+  endforeach()
+endfunction()
--- /dev/null
+++ b/include/acaciahold/Consensus/replica.h
@@ -0,0 +1,126 @@
+// One replica of the replicated log: a core without I/O. Every function takes
+// the replica, one event and the instant, and returns what the shell must do.
+//
+// The shell carries out an Output in this order: make `persist` durable, then
+// send `messages`, then apply `committed` or `restore`. Nothing of an Output
+// may be skipped, and the next event comes only after `persist` is durable. A
+// crash before that loses the whole Output, which is safe.
+
+#ifndef ACACIAHOLD_CONSENSUS_REPLICA_H_
+#define ACACIAHOLD_CONSENSUS_REPLICA_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <vector>
+
+#include "acaciahold/Consensus/message.h"
+#include "acaciahold/Support/time.h"
+
+namespace acaciahold::consensus {
+
+inline constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(100);
+inline constexpr Duration kElectionTimeoutMin = std::chrono::milliseconds(500);
+inline constexpr Duration kElectionTimeoutMax = std::chrono::milliseconds(1000);
+inline constexpr size_t kMaxEntriesPerAppend = 64;
+
+enum class Role { kFollower, kPreCandidate, kCandidate, kLeader };
+
+// What the leader knows of another member.
+struct Progress {
+  Index next = 1;   // The next entry to send.
+  Index match = 0;  // Known to be stored there.
+  Instant heard_at;
+  Instant resend_deadline;  // Nothing is sent again before it.
+};
+
+// Durable changes, in the order of writing: hard state, snapshot, log.
+struct Persist {
+  std::optional<HardState> hard_state;
+  std::optional<Snapshot> snapshot;  // The log before and at it is dropped.
+  std::optional<Index> truncate_from;
+  std::vector<LogEntry> append;
+
+  bool IsEmpty() const {
+    return !hard_state && !snapshot && !truncate_from && append.empty();
+  }
+};
+
+struct Output {
+  Persist persist;
+  std::vector<Message> messages;
+  // Replaces the state machine before `committed` is applied.
+  std::optional<Snapshot> restore;
+  std::vector<LogEntry> committed;
+};
+
+// Invariants: entries are contiguous from snapshot.index + 1; applied <=
+// commit <= last index; terms in the log never fall; a leader's `progress` has
+// every other member.
+struct Replica {
+  ReplicaId id = 0;
+  uint64_t instance = 0;
+  std::mt19937_64 random;
+  HardState hard;
+  Snapshot snapshot;
+  std::deque<LogEntry> entries;
+  Index commit = 0;
+  Index applied = 0;
+  Role role = Role::kFollower;
+  ReplicaId leader = 0;  // 0 where not known.
+  Instant election_deadline;
+  Instant heartbeat_deadline;
+  // When a leader was last heard, or, for the leader, when a majority was.
+  Instant current_as_of;
+  std::set<ReplicaId> votes;
+  std::map<ReplicaId, Progress> progress;
+  std::vector<Member> members;  // The newest in the log, committed or not.
+  Index members_index = 0;      // Where they stand in the log.
+  uint64_t rejected_instances = 0;
+};
+
+// What the shell read from disk, or the first members for an empty folder.
+struct StartState {
+  ReplicaId id = 0;
+  uint64_t instance = 0;
+  uint64_t seed = 0;
+  HardState hard;
+  Snapshot snapshot;
+  std::vector<LogEntry> entries;
+};
+
+enum class ProposeStatus { kAccepted, kNotLeader, kBusy };
+
+struct ProposeResult {
+  ProposeStatus status = ProposeStatus::kNotLeader;
+  Index index = 0;  // Where the entry stands, if accepted.
+  Term term = 0;
+  Output output;
+};
+
+Replica StartReplica(StartState start, Instant now);
+
+// To be called at NextDeadline or later.
+Output OnTick(Replica& replica, Instant now);
+Output OnMessage(Replica& replica, const Message& message, Instant now);
+ProposeResult Propose(Replica& replica, std::string command, Instant now);
+
+// Adds, removes or promotes one member; refused as kBusy while an earlier
+// change is not committed, or where the lists differ by more than one vote.
+ProposeResult ProposeMembers(Replica& replica,
+                             std::vector<Member> members,
+                             Instant now);
+
+// Drops the applied part of the log, which `data` stands for.
+Output Compact(Replica& replica, std::string data);
+
+Instant NextDeadline(const Replica& replica);
+Index LastIndex(const Replica& replica);
+bool IsVoter(const Replica& replica, ReplicaId id);
+
+}  // namespace acaciahold::consensus
+
+#endif  // ACACIAHOLD_CONSENSUS_REPLICA_H_
--- /dev/null
+++ b/include/acaciahold/Support/address.h
@@ -0,0 +1,44 @@
+// IPv4 addresses and endpoints. Hosts are known by IP numbers alone; names are
+// never resolved.
+
+#ifndef ACACIAHOLD_SUPPORT_ADDRESS_H_
+#define ACACIAHOLD_SUPPORT_ADDRESS_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "acaciahold/Support/error.h"
+
+namespace acaciahold {
+
+// An IPv4 address and a port, both in host byte order.
+struct Endpoint {
+  uint32_t address = 0;
+  uint16_t port = 0;
+
+  auto operator<=>(const Endpoint&) const = default;
+};
+
+// Parses "10.0.0.1". Fails with FieldError.
+Result<uint32_t> ParseAddress(std::string_view text);
+
+// Parses "10.0.0.1:7000". Fails with FieldError.
+Result<Endpoint> ParseEndpoint(std::string_view text);
+
+std::string FormatAddress(uint32_t address);
+std::string FormatEndpoint(Endpoint endpoint);
+
+// Packs the endpoint into 48 bits, unique for each endpoint.
+constexpr uint64_t PackEndpoint(Endpoint endpoint) {
+  return (uint64_t{endpoint.address} << 16U) | endpoint.port;
+}
+
+constexpr Endpoint UnpackEndpoint(uint64_t packed) {
+  return {static_cast<uint32_t>(packed >> 16U), static_cast<uint16_t>(packed)};
+}
+
+}  // namespace acaciahold
+
+#endif  // ACACIAHOLD_SUPPORT_ADDRESS_H_
--- /dev/null
+++ b/include/acaciahold/Table/table_json.h
@@ -0,0 +1,34 @@
+// JSON forms of the table's types, for messages between hosts and commands and
+// for the log. Decoding checks every field.
+
+#ifndef ACACIAHOLD_TABLE_TABLE_JSON_H_
+#define ACACIAHOLD_TABLE_TABLE_JSON_H_
+
+#include <string>
+#include <string_view>
+
+#include <boost/json/value.hpp>
+
+#include "acaciahold/Table/service_table.h"
+
+namespace acaciahold::table {
+
+boost::json::value ToJson(const ServiceTable& table);
+boost::json::value ToJson(const Edit& edit);
+boost::json::value ToJson(const EditOutcome& outcome);
+boost::json::value ToJson(const HistoryEntry& entry);
+boost::json::value ToJson(const TableState& state);
+
+// Each fails with FieldError where the value has another form.
+Result<ServiceTable> TableFromJson(const boost::json::value& value);
+Result<Edit> EditFromJson(const boost::json::value& value);
+Result<EditOutcome> OutcomeFromJson(const boost::json::value& value);
+Result<HistoryEntry> HistoryFromJson(const boost::json::value& value);
+Result<TableState> StateFromJson(const boost::json::value& value);
+
+// Parses a document and decodes it with `decode`. Fails with FieldError.
+Result<boost::json::value> ParseJson(std::string_view text);
+
+}  // namespace acaciahold::table
+
+#endif  // ACACIAHOLD_TABLE_TABLE_JSON_H_
--- /dev/null
+++ b/lib/Config/settings.cc
@@ -0,0 +1,155 @@
+// Reads and checks the settings file.
+
+#include "acaciahold/Config/settings.h"
+
+#include <algorithm>
+#include <array>
+#include <filesystem>
+#include <set>
+
+#include "acaciahold/Yaml/field_reader.h"
+
+namespace acaciahold::config {
+namespace {
+
+using yaml::FaultList;
+using yaml::FieldReader;
+using yaml::UnsignedRange;
+
+constexpr UnsignedRange kThreadRange{1, 64};
+constexpr UnsignedRange kReplicaRange{1, 1'000'000};
+constexpr UnsignedRange kFlowRange{1, 100'000'000};
+constexpr UnsignedRange kBodyRange{1'024, 1ULL << 30U};
+constexpr UnsignedRange kRequestRange{1, 1'000'000};
+constexpr size_t kMaxControlHosts = 9;
+
+void ReadRoles(FieldReader& reader, Settings& settings) {
+  for (const auto& role : reader.TextList("roles")) {
+    if (role == "entry") {
+      settings.is_entry = true;
+    } else if (role == "control") {
+      settings.is_control = true;
+    } else {
+      reader.AddFault("roles", "a list of entry and control");
+    }
+  }
+  if (reader.Has("roles") && !settings.is_entry && !settings.is_control) {
+    reader.AddFault("roles", "at least one of entry and control");
+  }
+}
+
+void ReadEntry(FieldReader& parent, EntrySettings& entry) {
+  auto reader = parent.Mapping("entry");
+  if (!reader) {
+    return;
+  }
+  constexpr std::array<std::string_view, 6> kKeys{
+      "packets",   "peer",           "requests",
+      "max_flows", "max_body_bytes", "max_open_requests"};
+  reader->CheckKeys(kKeys);
+  entry.packets = reader->ReadEndpoint("packets").value_or(Endpoint());
+  entry.peer = reader->ReadEndpoint("peer").value_or(Endpoint());
+  entry.requests = reader->ReadEndpoint("requests").value_or(Endpoint());
+  entry.max_flows =
+      reader->UnsignedOr("max_flows", kFlowRange, entry.max_flows);
+  entry.max_body_bytes =
+      reader->UnsignedOr("max_body_bytes", kBodyRange, entry.max_body_bytes);
+  entry.max_open_requests = reader->UnsignedOr(
+      "max_open_requests", kRequestRange, entry.max_open_requests);
+}
+
+void ReadControl(FieldReader& parent, ControlSettings& control) {
+  auto reader = parent.Mapping("control");
+  if (!reader) {
+    return;
+  }
+  constexpr std::array<std::string_view, 2> kKeys{"replica_id", "data_folder"};
+  reader->CheckKeys(kKeys);
+  control.replica_id =
+      reader->Unsigned("replica_id", kReplicaRange).value_or(0);
+  control.data_folder = reader->Text("data_folder").value_or("");
+  std::error_code ec;
+  if (!control.data_folder.empty() &&
+      !std::filesystem::is_directory(control.data_folder, ec)) {
+    reader->AddFault("data_folder", "a folder that exists");
+  }
+}
+
+void ReadEntryHosts(FieldReader& parent, Settings& settings) {
+  std::set<std::string> names{settings.name};
+  for (auto& reader : parent.MappingList("entry_hosts")) {
+    constexpr std::array<std::string_view, 4> kKeys{"name", "failure_domain",
+                                                    "peer", "admin"};
+    reader.CheckKeys(kKeys);
+    EntryPeer peer;
+    peer.name = reader.Text("name").value_or("");
+    peer.failure_domain = reader.Text("failure_domain").value_or("");
+    peer.peer = reader.ReadEndpoint("peer").value_or(Endpoint());
+    peer.admin = reader.ReadEndpoint("admin").value_or(Endpoint());
+    bool is_self = settings.is_entry && peer.name == settings.name;
+    if (!is_self && !names.insert(peer.name).second) {
+      reader.AddFault("name", "a name that no other host has");
+    }
+    if (!is_self) {
+      settings.entry_hosts.push_back(std::move(peer));
+    }
+  }
+}
+
+void ReadControlHosts(FieldReader& parent, Settings& settings) {
+  std::set<uint32_t> ids;
+  for (auto& reader : parent.MappingList("control_hosts")) {
+    constexpr std::array<std::string_view, 2> kKeys{"replica_id", "admin"};
+    reader.CheckKeys(kKeys);
+    ControlPeer peer;
+    peer.replica_id = reader.Unsigned("replica_id", kReplicaRange).value_or(0);
+    peer.admin = reader.ReadEndpoint("admin").value_or(Endpoint());
+    if (!ids.insert(peer.replica_id).second) {
+      reader.AddFault("replica_id", "an id that no other control host has");
+    }
+    settings.control_hosts.push_back(peer);
+  }
+  if (settings.control_hosts.size() > kMaxControlHosts) {
+    parent.AddFault("control_hosts", "at most 9 control hosts");
+  }
+  if (settings.is_control && !ids.contains(settings.control.replica_id)) {
+    parent.AddFault("control_hosts",
+                    "a list that holds this host's own "
+                    "replica_id");
+  }
+}
+
+}  // namespace
+
+Result<SettingsFile> ReadSettings(const std::string& path) {
+  BOOST_LEAF_AUTO(document, yaml::LoadFile(path));
+  FaultList faults{path, {}};
+  FieldReader reader(document, "", faults);
+  constexpr std::array<std::string_view, 11> kKeys{
+      "name",    "failure_domain", "admin",       "roles",
+      "entry",   "control",        "entry_hosts", "control_hosts",
+      "threads", "trace_file",     "history_file"};
+  reader.CheckKeys(kKeys);
+  SettingsFile file;
+  auto& settings = file.settings;
+  settings.name = reader.Text("name").value_or("");
+  settings.failure_domain = reader.Text("failure_domain").value_or("");
+  settings.admin = reader.ReadEndpoint("admin").value_or(Endpoint());
+  ReadRoles(reader, settings);
+  if (settings.is_entry) {
+    ReadEntry(reader, settings.entry);
+  }
+  if (settings.is_control) {
+    ReadControl(reader, settings.control);
+  }
+  ReadEntryHosts(reader, settings);
+  ReadControlHosts(reader, settings);
+  settings.threads =
+      reader.UnsignedOr("threads", kThreadRange, settings.threads);
+  settings.trace_file = reader.TextOr("trace_file", "");
+  settings.history_file = reader.TextOr("history_file", "");
+  file.faults = std::move(faults.faults);
+  return file;
+}
+
+}  // namespace acaciahold::config
--- /dev/null
+++ b/lib/Consensus/message.cc
@@ -0,0 +1,181 @@
+// JSON forms of the log's messages and records.
+
+#include "acaciahold/Consensus/message.h"
+
+#include <exception>
+
+#include <boost/json.hpp>
+
+namespace acaciahold::consensus {
+namespace {
+
+namespace json = boost::json;
+
+// Decoders throw on a missing field or another type; Guarded turns that into a
+// FieldError at the library's edge.
+template <typename F>
+auto Guarded(F decode) -> Result<decltype(decode())> {
+  try {
+    return decode();
+  } catch (const std::exception& e) {
+    return leaf::new_error(FieldError{
+        .field = "(json)", .value = e.what(), .wanted = "the documented form"});
+  }
+}
+
+template <typename T>
+T NumberAt(const json::object& object, std::string_view key) {
+  return object.at(key).to_number<T>();
+}
+
+template <typename E>
+E EnumAt(const json::object& object, std::string_view key, E last) {
+  auto n = NumberAt<int>(object, key);
+  if (n < 0 || n > static_cast<int>(last)) {
+    throw std::out_of_range("unknown kind");
+  }
+  return static_cast<E>(n);
+}
+
+std::vector<Member> DecodeMembers(const json::value& value) {
+  std::vector<Member> members;
+  for (const auto& it : value.as_array()) {
+    const auto& object = it.as_object();
+    auto packed = NumberAt<uint64_t>(object, "admin");
+    members.push_back({NumberAt<ReplicaId>(object, "id"),
+                       UnpackEndpoint(packed),
+                       object.at("is_voter").as_bool()});
+  }
+  return members;
+}
+
+LogEntry DecodeEntry(const json::value& value) {
+  const auto& object = value.as_object();
+  return {NumberAt<Index>(object, "index"), NumberAt<Term>(object, "term"),
+          EnumAt(object, "kind", EntryKind::kMembers),
+          std::string(object.at("payload").as_string())};
+}
+
+Snapshot DecodeSnapshot(const json::value& value) {
+  const auto& object = value.as_object();
+  return {NumberAt<Index>(object, "index"), NumberAt<Term>(object, "term"),
+          DecodeMembers(object.at("members")),
+          std::string(object.at("data").as_string())};
+}
+
+HardState DecodeHardState(const json::value& value) {
+  const auto& object = value.as_object();
+  HardState state;
+  state.term = NumberAt<Term>(object, "term");
+  state.voted_for = NumberAt<ReplicaId>(object, "voted_for");
+  for (const auto& it : object.at("pins").as_array()) {
+    const auto& pin = it.as_object();
+    state.pins.push_back(
+        {NumberAt<ReplicaId>(pin, "id"), NumberAt<uint64_t>(pin, "instance")});
+  }
+  return state;
+}
+
+Message DecodeMessage(const json::value& value) {
+  const auto& object = value.as_object();
+  Message message;
+  message.kind = EnumAt(object, "kind", MessageKind::kSnapshot);
+  message.from = NumberAt<ReplicaId>(object, "from");
+  message.to = NumberAt<ReplicaId>(object, "to");
+  message.instance = NumberAt<uint64_t>(object, "instance");
+  message.term = NumberAt<Term>(object, "term");
+  message.index = NumberAt<Index>(object, "index");
+  message.log_term = NumberAt<Term>(object, "log_term");
+  message.commit = NumberAt<Index>(object, "commit");
+  message.granted = object.at("granted").as_bool();
+  if (const auto* entries = object.if_contains("entries")) {
+    for (const auto& it : entries->as_array()) {
+      message.entries.push_back(DecodeEntry(it));
+    }
+  }
+  if (const auto* snapshot = object.if_contains("snapshot")) {
+    message.snapshot = DecodeSnapshot(*snapshot);
+  }
+  return message;
+}
+
+}  // namespace
+
+json::value ToJson(const std::vector<Member>& members) {
+  json::array array;
+  for (const auto& member : members) {
+    array.push_back({{"id", member.id},
+                     {"admin", PackEndpoint(member.admin)},
+                     {"is_voter", member.is_voter}});
+  }
+  return array;
+}
+
+json::value ToJson(const LogEntry& entry) {
+  return {{"index", entry.index},
+          {"term", entry.term},
+          {"kind", static_cast<int>(entry.kind)},
+          {"payload", entry.payload}};
+}
+
+json::value ToJson(const HardState& state) {
+  json::array pins;
+  for (const auto& pin : state.pins) {
+    pins.push_back({{"id", pin.id}, {"instance", pin.instance}});
+  }
+  return {{"term", state.term},
+          {"voted_for", state.voted_for},
+          {"pins", std::move(pins)}};
+}
+
+json::value ToJson(const Snapshot& snapshot) {
+  return {{"index", snapshot.index},
+          {"term", snapshot.term},
+          {"members", ToJson(snapshot.members)},
+          {"data", snapshot.data}};
+}
+
+json::value ToJson(const Message& message) {
+  json::object object{{"kind", static_cast<int>(message.kind)},
+                      {"from", message.from},
+                      {"to", message.to},
+                      {"instance", message.instance},
+                      {"term", message.term},
+                      {"index", message.index},
+                      {"log_term", message.log_term},
+                      {"commit", message.commit},
+                      {"granted", message.granted}};
+  if (!message.entries.empty()) {
+    json::array entries;
+    for (const auto& entry : message.entries) {
+      entries.push_back(ToJson(entry));
+    }
+    object["entries"] = std::move(entries);
+  }
+  if (message.kind == MessageKind::kSnapshot) {
+    object["snapshot"] = ToJson(message.snapshot);
+  }
+  return object;
+}
+
+Result<Message> MessageFromJson(const json::value& value) {
+  return Guarded([&] { return DecodeMessage(value); });
+}
+
+Result<LogEntry> EntryFromJson(const json::value& value) {
+  return Guarded([&] { return DecodeEntry(value); });
+}
+
+Result<HardState> HardStateFromJson(const json::value& value) {
+  return Guarded([&] { return DecodeHardState(value); });
+}
+
+Result<Snapshot> SnapshotFromJson(const json::value& value) {
+  return Guarded([&] { return DecodeSnapshot(value); });
+}
+
+Result<std::vector<Member>> MembersFromJson(const json::value& value) {
+  return Guarded([&] { return DecodeMembers(value); });
+}
+
+}  // namespace acaciahold::consensus
--- /dev/null
+++ b/lib/Table/service_table.cc
@@ -0,0 +1,243 @@
+// Applying edits to the table, and the rules that its rows obey.
+
+#include "acaciahold/Table/service_table.h"
+
+#include <algorithm>
+
+#include <boost/json/serialize.hpp>
+
+#include "acaciahold/Support/check.h"
+#include "acaciahold/Support/hash.h"
+#include "acaciahold/Table/table_json.h"
+
+namespace acaciahold::table {
+namespace {
+
+constexpr size_t kMaxNameBytes = 63;
+constexpr size_t kMaxServices = 20'000;
+
+bool IsName(std::string_view text) {
+  if (text.empty() || text.size() > kMaxNameBytes) {
+    return false;
+  }
+  return std::all_of(text.begin(), text.end(), [](char c) {
+    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-';
+  });
+}
+
+// The content of an edit without the instant, which a resend may change.
+uint64_t ContentHash(const Edit& edit) {
+  Edit content = edit;
+  content.made_at = Instant();
+  return HashText(boost::json::serialize(ToJson(content)));
+}
+
+std::vector<VersionedRow>::iterator LowerBound(ServiceTable& table,
+                                               std::string_view name) {
+  return std::lower_bound(table.rows.begin(), table.rows.end(), name,
+                          [](const VersionedRow& row, std::string_view key) {
+                            return row.service.name < key;
+                          });
+}
+
+void ApplyChange(ServiceTable& table, const RowChange& change) {
+  auto it = LowerBound(table, change.name);
+  bool exists = it != table.rows.end() && it->service.name == change.name;
+  if (!change.put) {
+    if (exists) {
+      table.rows.erase(it);
+    }
+    return;
+  }
+  VersionedRow row{*change.put, table.revision};
+  if (exists) {
+    *it = std::move(row);
+  } else {
+    table.rows.insert(it, std::move(row));
+  }
+}
+
+std::vector<VersionedRow> FindConflicts(const ServiceTable& table,
+                                        const Edit& edit) {
+  std::vector<VersionedRow> current;
+  for (const auto& change : edit.changes) {
+    const auto* row = FindRow(table, change.name);
+    uint64_t revision = row ? row->revision : 0;
+    if (revision == change.base_revision) {
+      continue;
+    }
+    VersionedRow shown;
+    shown.service.name = change.name;
+    current.push_back(row ? *row : shown);
+  }
+  return current;
+}
+
+void CheckRow(const ServiceRow& row, std::vector<FieldError>& faults) {
+  auto add = [&](std::string field, std::string value, std::string wanted) {
+    faults.push_back({.field = row.name + "." + field,
+                      .value = std::move(value),
+                      .wanted = std::move(wanted)});
+  };
+  if (!IsName(row.name)) {
+    add("name", row.name, "1 to 63 of a-z, 0-9 and -");
+  }
+  if (row.limits.cold > row.limits.connections) {
+    add("limits.cold", std::to_string(row.limits.cold),
+        "at most the limit of connections");
+  }
+  for (size_t i = 1; i < row.failure_domains.size(); ++i) {
+    const auto& name = row.failure_domains[i].failure_domain;
+    if (name <= row.failure_domains[i - 1].failure_domain) {
+      add("failure_domains", name, "each failure domain once, sorted");
+    }
+  }
+}
+
+void CheckTogether(std::span<const ServiceRow> rows,
+                   std::vector<FieldError>& faults) {
+  if (rows.size() > kMaxServices) {
+    faults.push_back({.field = "services",
+                      .value = std::to_string(rows.size()),
+                      .wanted = "at most " + std::to_string(kMaxServices)});
+  }
+  std::unordered_map<std::string_view, size_t> names;
+  std::unordered_map<uint64_t, std::string_view> addresses;
+  for (const auto& row : rows) {
+    if (++names[row.name] == 2) {
+      faults.push_back({.field = row.name + ".name",
+                        .value = row.name,
+                        .wanted = "a name that no other service has"});
+    }
+    if (row.kind != ServiceKind::kFlow) {
+      continue;
+    }
+    auto [it, fresh] = addresses.emplace(PackEndpoint(row.address), row.name);
+    if (!fresh) {
+      faults.push_back({.field = row.name + ".address",
+                        .value = FormatEndpoint(row.address),
+                        .wanted = "an address that service " +
+                                  std::string(it->second) + " does not have"});
+    }
+  }
+}
+
+EditOutcome Decide(TableState& state, const Edit& edit) {
+  EditOutcome outcome;
+  outcome.revision = state.table.revision;
+  outcome.current = FindConflicts(state.table, edit);
+  if (!outcome.current.empty()) {
+    outcome.verdict = EditVerdict::kConflict;
+    return outcome;
+  }
+  ServiceTable next = state.table;
+  ++next.revision;
+  for (const auto& change : edit.changes) {
+    ApplyChange(next, change);
+  }
+  std::vector<ServiceRow> rows;
+  for (const auto& row : next.rows) {
+    rows.push_back(row.service);
+  }
+  outcome.faults = Validate(rows);
+  if (edit.changes.empty()) {
+    outcome.faults.push_back(
+        {.field = "changes", .value = "(empty)", .wanted = "a change"});
+  }
+  if (!outcome.faults.empty()) {
+    outcome.verdict = EditVerdict::kInvalid;
+    return outcome;
+  }
+  outcome.revision = next.revision;
+  state.table = std::move(next);
+  state.history.push_back({outcome.revision, edit});
+  if (state.history.size() > kMaxHistoryEntries) {
+    state.history.pop_front();
+  }
+  return outcome;
+}
+
+}  // namespace
+
+EditOutcome ApplyEdit(TableState& state, const Edit& edit) {
+  uint64_t content_hash = ContentHash(edit);
+  if (const auto* known = FindAnswer(state, edit.id)) {
+    if (known->content_hash == content_hash) {
+      return known->outcome;
+    }
+    EditOutcome outcome;
+    outcome.verdict = EditVerdict::kReusedId;
+    outcome.revision = state.table.revision;
+    return outcome;
+  }
+  auto outcome = Decide(state, edit);
+  state.answered[edit.id] = {content_hash, outcome};
+  state.answered_order.push_back(edit.id);
+  if (state.answered_order.size() > kMaxAnsweredEdits) {
+    state.answered.erase(state.answered_order.front());
+    state.answered_order.pop_front();
+  }
+  return outcome;
+}
+
+const TableState::AnsweredEdit* FindAnswer(const TableState& state,
+                                           std::string_view edit_id) {
+  auto it = state.answered.find(std::string(edit_id));
+  return it == state.answered.end() ? nullptr : &it->second;
+}
+
+const VersionedRow* FindRow(const ServiceTable& table, std::string_view name) {
+  auto it = LowerBound(const_cast<ServiceTable&>(table), name);
+  if (it == table.rows.end() || it->service.name != name) {
+    return nullptr;
+  }
+  return &*it;
+}
+
+std::vector<FieldError> Validate(std::span<const ServiceRow> rows) {
+  std::vector<FieldError> faults;
+  for (const auto& row : rows) {
+    CheckRow(row, faults);
+  }
+  CheckTogether(rows, faults);
+  return faults;
+}
+
+std::vector<RowChange> Diff(const ServiceTable& table,
+                            std::span<const ServiceRow> wanted) {
+  std::vector<RowChange> changes;
+  std::unordered_map<std::string_view, const ServiceRow*> by_name;
+  for (const auto& row : wanted) {
+    by_name[row.name] = &row;
+  }
+  for (const auto& row : table.rows) {
+    if (!by_name.contains(row.service.name)) {
+      changes.push_back({row.service.name, row.revision, std::nullopt});
+    }
+  }
+  for (const auto& row : wanted) {
+    const auto* current = FindRow(table, row.name);
+    if (current && current->service == row) {
+      continue;
+    }
+    changes.push_back({row.name, current ? current->revision : 0, row});
+  }
+  return changes;
+}
+
+std::string_view VerdictName(EditVerdict verdict) {
+  switch (verdict) {
+    case EditVerdict::kAccepted:
+      return "accepted";
+    case EditVerdict::kConflict:
+      return "conflict";
+    case EditVerdict::kReusedId:
+      return "reused-id";
+    case EditVerdict::kInvalid:
+      return "invalid";
+  }
+  AssertInvariant(false, "edit verdict out of range");
+  return "";
+}
+
+}  // namespace acaciahold::table
--- /dev/null
+++ b/lib/Table/table_json.cc
@@ -0,0 +1,261 @@
+// JSON encoding and checked decoding of the table's types.
+
+#include "acaciahold/Table/table_json.h"
+
+#include <exception>
+
+#include <boost/json.hpp>
+
+namespace acaciahold::table {
+namespace {
+
+namespace json = boost::json;
+
+// Decoders below throw on a missing field or another type; Guarded turns that
+// into a FieldError at the library's edge.
+template <typename F>
+auto Guarded(F decode) -> Result<decltype(decode())> {
+  try {
+    return decode();
+  } catch (const std::exception& e) {
+    return leaf::new_error(FieldError{
+        .field = "(json)", .value = e.what(), .wanted = "the documented form"});
+  }
+}
+
+std::string TextAt(const json::object& object, std::string_view key) {
+  return std::string(object.at(key).as_string());
+}
+
+template <typename T>
+T NumberAt(const json::object& object, std::string_view key) {
+  return object.at(key).to_number<T>();
+}
+
+json::value RowToJson(const ServiceRow& row) {
+  json::array domains;
+  for (const auto& it : row.failure_domains) {
+    domains.push_back(
+        {{"failure_domain", it.failure_domain}, {"weight", it.weight}});
+  }
+  return {{"name", row.name},
+          {"kind", KindName(row.kind)},
+          {"address", FormatEndpoint(row.address)},
+          {"slots", row.limits.slots},
+          {"connections", row.limits.connections},
+          {"cold", row.limits.cold},
+          {"failure_domains", std::move(domains)},
+          {"idle_seconds", row.idle_seconds},
+          {"priority", row.priority}};
+}
+
+ServiceRow DecodeRow(const json::value& value) {
+  const auto& object = value.as_object();
+  ServiceRow row;
+  row.name = TextAt(object, "name");
+  row.kind = TextAt(object, "kind") == "request" ? ServiceKind::kRequest
+                                                 : ServiceKind::kFlow;
+  auto address = ParseEndpoint(TextAt(object, "address"));
+  // The zero endpoint of a conflict's missing row does not parse; it stays 0.
+  row.address = address ? *address : Endpoint();
+  row.limits.slots = NumberAt<uint32_t>(object, "slots");
+  row.limits.connections = NumberAt<uint32_t>(object, "connections");
+  row.limits.cold = NumberAt<uint32_t>(object, "cold");
+  for (const auto& it : object.at("failure_domains").as_array()) {
+    row.failure_domains.push_back(
+        {TextAt(it.as_object(), "failure_domain"),
+         NumberAt<uint32_t>(it.as_object(), "weight")});
+  }
+  row.idle_seconds = NumberAt<uint32_t>(object, "idle_seconds");
+  row.priority = NumberAt<uint32_t>(object, "priority");
+  return row;
+}
+
+json::value VersionedToJson(const VersionedRow& row) {
+  return {{"service", RowToJson(row.service)}, {"revision", row.revision}};
+}
+
+VersionedRow DecodeVersioned(const json::value& value) {
+  const auto& object = value.as_object();
+  return {DecodeRow(object.at("service")),
+          NumberAt<uint64_t>(object, "revision")};
+}
+
+json::array RowsToJson(const std::vector<VersionedRow>& rows) {
+  json::array array;
+  for (const auto& row : rows) {
+    array.push_back(VersionedToJson(row));
+  }
+  return array;
+}
+
+std::vector<VersionedRow> DecodeRows(const json::value& value) {
+  std::vector<VersionedRow> rows;
+  for (const auto& it : value.as_array()) {
+    rows.push_back(DecodeVersioned(it));
+  }
+  return rows;
+}
+
+ServiceTable DecodeTable(const json::value& value) {
+  const auto& object = value.as_object();
+  return {NumberAt<uint64_t>(object, "revision"),
+          DecodeRows(object.at("rows"))};
+}
+
+RowChange DecodeChange(const json::value& value) {
+  const auto& object = value.as_object();
+  RowChange change;
+  change.name = TextAt(object, "name");
+  change.base_revision = NumberAt<uint64_t>(object, "base_revision");
+  if (!object.at("put").is_null()) {
+    change.put = DecodeRow(object.at("put"));
+  }
+  return change;
+}
+
+Edit DecodeEdit(const json::value& value) {
+  const auto& object = value.as_object();
+  Edit edit;
+  edit.id = TextAt(object, "id");
+  edit.author = TextAt(object, "author");
+  edit.made_at = FromUnixMillis(NumberAt<int64_t>(object, "made_at_ms"));
+  for (const auto& it : object.at("changes").as_array()) {
+    edit.changes.push_back(DecodeChange(it));
+  }
+  return edit;
+}
+
+EditVerdict DecodeVerdict(std::string_view name) {
+  for (auto verdict : {EditVerdict::kAccepted, EditVerdict::kConflict,
+                       EditVerdict::kReusedId, EditVerdict::kInvalid}) {
+    if (VerdictName(verdict) == name) {
+      return verdict;
+    }
+  }
+  throw std::invalid_argument("unknown verdict");
+}
+
+EditOutcome DecodeOutcome(const json::value& value) {
+  const auto& object = value.as_object();
+  EditOutcome outcome;
+  outcome.verdict = DecodeVerdict(TextAt(object, "verdict"));
+  outcome.revision = NumberAt<uint64_t>(object, "revision");
+  outcome.current = DecodeRows(object.at("current"));
+  for (const auto& it : object.at("faults").as_array()) {
+    const auto& fault = it.as_object();
+    outcome.faults.push_back({.field = TextAt(fault, "field"),
+                              .value = TextAt(fault, "value"),
+                              .wanted = TextAt(fault, "wanted")});
+  }
+  return outcome;
+}
+
+HistoryEntry DecodeHistory(const json::value& value) {
+  const auto& object = value.as_object();
+  return {NumberAt<uint64_t>(object, "revision"),
+          DecodeEdit(object.at("edit"))};
+}
+
+TableState DecodeState(const json::value& value) {
+  const auto& object = value.as_object();
+  TableState state;
+  state.table = DecodeTable(object.at("table"));
+  for (const auto& it : object.at("history").as_array()) {
+    state.history.push_back(DecodeHistory(it));
+  }
+  for (const auto& it : object.at("answered").as_array()) {
+    const auto& answer = it.as_object();
+    auto id = TextAt(answer, "id");
+    state.answered[id] = {NumberAt<uint64_t>(answer, "content_hash"),
+                          DecodeOutcome(answer.at("outcome"))};
+    state.answered_order.push_back(id);
+  }
+  return state;
+}
+
+}  // namespace
+
+json::value ToJson(const ServiceTable& table) {
+  return {{"revision", table.revision}, {"rows", RowsToJson(table.rows)}};
+}
+
+json::value ToJson(const Edit& edit) {
+  json::array changes;
+  for (const auto& change : edit.changes) {
+    changes.push_back(
+        {{"name", change.name},
+         {"base_revision", change.base_revision},
+         {"put", change.put ? RowToJson(*change.put) : json::value()}});
+  }
+  return {{"id", edit.id},
+          {"author", edit.author},
+          {"made_at_ms", ToUnixMillis(edit.made_at)},
+          {"changes", std::move(changes)}};
+}
+
+json::value ToJson(const EditOutcome& outcome) {
+  json::array faults;
+  for (const auto& fault : outcome.faults) {
+    faults.push_back({{"field", fault.field},
+                      {"value", fault.value},
+                      {"wanted", fault.wanted}});
+  }
+  return {{"verdict", VerdictName(outcome.verdict)},
+          {"revision", outcome.revision},
+          {"current", RowsToJson(outcome.current)},
+          {"faults", std::move(faults)}};
+}
+
+json::value ToJson(const HistoryEntry& entry) {
+  return {{"revision", entry.revision}, {"edit", ToJson(entry.edit)}};
+}
+
+json::value ToJson(const TableState& state) {
+  json::array history;
+  for (const auto& entry : state.history) {
+    history.push_back(ToJson(entry));
+  }
+  json::array answered;
+  for (const auto& id : state.answered_order) {
+    const auto& answer = state.answered.at(id);
+    answered.push_back({{"id", id},
+                        {"content_hash", answer.content_hash},
+                        {"outcome", ToJson(answer.outcome)}});
+  }
+  return {{"table", ToJson(state.table)},
+          {"history", std::move(history)},
+          {"answered", std::move(answered)}};
+}
+
+Result<ServiceTable> TableFromJson(const json::value& value) {
+  return Guarded([&] { return DecodeTable(value); });
+}
+
+Result<Edit> EditFromJson(const json::value& value) {
+  return Guarded([&] { return DecodeEdit(value); });
+}
+
+Result<EditOutcome> OutcomeFromJson(const json::value& value) {
+  return Guarded([&] { return DecodeOutcome(value); });
+}
+
+Result<HistoryEntry> HistoryFromJson(const json::value& value) {
+  return Guarded([&] { return DecodeHistory(value); });
+}
+
+Result<TableState> StateFromJson(const json::value& value) {
+  return Guarded([&] { return DecodeState(value); });
+}
+
+Result<json::value> ParseJson(std::string_view text) {
+  json::error_code ec;
+  auto value = json::parse(text, ec);
+  if (ec) {
+    return leaf::new_error(FieldError{
+        .field = "(json)", .value = ec.message(), .wanted = "a JSON document"});
+  }
+  return value;
+}
+
+}  // namespace acaciahold::table
--- /dev/null
+++ b/lib/Table/table_yaml.cc
@@ -0,0 +1,162 @@
+// Reading and writing the table file.
+
+#include "acaciahold/Table/table_yaml.h"
+
+#include <algorithm>
+#include <array>
+
+#include <yaml-cpp/yaml.h>
+
+#include "acaciahold/Yaml/field_reader.h"
+
+namespace acaciahold::table {
+namespace {
+
+using yaml::FaultList;
+using yaml::FieldReader;
+using yaml::UnsignedRange;
+
+constexpr UnsignedRange kLimitRange{1, 10'000'000};
+constexpr UnsignedRange kWeightRange{1, 10'000};
+constexpr UnsignedRange kIdleRange{1, 86'400};
+constexpr UnsignedRange kPriorityRange{0, 9};
+constexpr uint32_t kDefaultWeight = 100;
+
+ServiceLimits ReadLimits(FieldReader& row) {
+  ServiceLimits limits;
+  auto reader = row.Mapping("limits");
+  if (!reader) {
+    return limits;
+  }
+  constexpr std::array<std::string_view, 3> kKeys{"slots", "connections",
+                                                  "cold"};
+  reader->CheckKeys(kKeys);
+  limits.slots = reader->Unsigned("slots", kLimitRange).value_or(1);
+  limits.connections = reader->Unsigned("connections", kLimitRange).value_or(1);
+  limits.cold = reader->Unsigned("cold", kLimitRange).value_or(1);
+  return limits;
+}
+
+std::vector<DomainWeight> ReadDomains(FieldReader& row) {
+  std::vector<DomainWeight> domains;
+  for (auto& name : row.TextList("failure_domains")) {
+    domains.push_back({std::move(name), kDefaultWeight});
+  }
+  std::sort(domains.begin(), domains.end(), [](const auto& a, const auto& b) {
+    return a.failure_domain < b.failure_domain;
+  });
+  if (!row.Has("weights")) {
+    return domains;
+  }
+  auto weights = row.Mapping("weights");
+  if (!weights) {
+    return domains;
+  }
+  for (const auto& name : weights->Keys()) {
+    auto weight = weights->Unsigned(name, kWeightRange);
+    auto it = std::find_if(domains.begin(), domains.end(), [&](const auto& d) {
+      return d.failure_domain == name;
+    });
+    if (it == domains.end()) {
+      weights->AddFault(name, "a failure domain that is in service");
+    } else if (weight) {
+      it->weight = *weight;
+    }
+  }
+  return domains;
+}
+
+ServiceRow ReadRow(FieldReader& reader) {
+  constexpr std::array<std::string_view, 8> kKeys{
+      "name",    "kind",         "address", "limits", "failure_domains",
+      "weights", "idle_seconds", "priority"};
+  reader.CheckKeys(kKeys);
+  ServiceRow row;
+  row.name = reader.Text("name").value_or("");
+  auto kind = reader.Text("kind").value_or("");
+  if (kind == "request") {
+    row.kind = ServiceKind::kRequest;
+  } else if (kind != "flow" && !kind.empty()) {
+    reader.AddFault("kind", "flow or request");
+  }
+  row.address = reader.ReadEndpoint("address").value_or(Endpoint());
+  row.limits = ReadLimits(reader);
+  row.failure_domains = ReadDomains(reader);
+  row.idle_seconds =
+      reader.UnsignedOr("idle_seconds", kIdleRange, row.idle_seconds);
+  row.priority = reader.UnsignedOr("priority", kPriorityRange, row.priority);
+  return row;
+}
+
+Result<TableFile> ReadDocument(const YAML::Node& document,
+                               const std::string& name) {
+  FaultList faults{name, {}};
+  FieldReader reader(document, "", faults);
+  constexpr std::array<std::string_view, 1> kKeys{"services"};
+  reader.CheckKeys(kKeys);
+  TableFile file;
+  for (auto& row : reader.MappingList("services")) {
+    file.rows.push_back(ReadRow(row));
+  }
+  file.faults = std::move(faults.faults);
+  if (file.faults.empty()) {
+    file.faults = Validate(file.rows);
+    for (auto& fault : file.faults) {
+      fault.file = name;
+    }
+  }
+  if (!file.faults.empty()) {
+    file.rows.clear();
+  }
+  return file;
+}
+
+}  // namespace
+
+Result<TableFile> ReadTableFile(const std::string& path) {
+  BOOST_LEAF_AUTO(document, yaml::LoadFile(path));
+  return ReadDocument(document, path);
+}
+
+Result<TableFile> ReadTableText(std::string_view text,
+                                const std::string& name) {
+  BOOST_LEAF_AUTO(document, yaml::LoadText(text, name));
+  return ReadDocument(document, name);
+}
+
+std::string WriteTableText(std::span<const VersionedRow> rows) {
+  YAML::Emitter out;
+  out << YAML::BeginMap << YAML::Key << "services" << YAML::Value
+      << YAML::BeginSeq;
+  for (const auto& [row, revision] : rows) {
+    out << YAML::BeginMap;
+    out << YAML::Key << "name" << YAML::Value << row.name;
+    out << YAML::Key << "kind" << YAML::Value
+        << std::string(KindName(row.kind));
+    out << YAML::Key << "address" << YAML::Value << FormatEndpoint(row.address);
+    out << YAML::Key << "limits" << YAML::Value << YAML::Flow << YAML::BeginMap;
+    out << YAML::Key << "slots" << YAML::Value << row.limits.slots;
+    out << YAML::Key << "connections" << YAML::Value << row.limits.connections;
+    out << YAML::Key << "cold" << YAML::Value << row.limits.cold;
+    out << YAML::EndMap;
+    out << YAML::Key << "failure_domains" << YAML::Value << YAML::Flow
+        << YAML::BeginSeq;
+    for (const auto& it : row.failure_domains) {
+      out << it.failure_domain;
+    }
+    out << YAML::EndSeq;
+    out << YAML::Key << "weights" << YAML::Value << YAML::Flow
+        << YAML::BeginMap;
+    for (const auto& it : row.failure_domains) {
+      out << YAML::Key << it.failure_domain << YAML::Value << it.weight;
+    }
+    out << YAML::EndMap;
+    out << YAML::Key << "idle_seconds" << YAML::Value << row.idle_seconds;
+    out << YAML::Key << "priority" << YAML::Value << row.priority;
+    out << YAML::EndMap;
+  }
+  out << YAML::EndSeq << YAML::EndMap;
+  return std::string(out.c_str()) + "\n";
+}
+
+}  // namespace acaciahold::table
