Add the decision core of entry hosts

Change: membership by probing, the registry of upstreams, steering by buckets with an owner and a backup, shares of upstreams' limits, and the messages between entry hosts.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -1,8 +1,8 @@
 # One library target for each folder of lib/. A library names only libraries of
 # lower layers, which is checked here, so that nothing includes upward.
 set(ACACIAHOLD_LAYERS
-    Support Yaml Observe Table Config Wire Consensus Storage Upstream Membership
-    Steering Request Host Operator)
+    Support Yaml Observe Packet Table Config Consensus Storage Membership
+    Upstream Admission Steering Wire Entry Request Host Operator)
 
 function(acaciahold_library name)
   cmake_parse_arguments(ARG "" "" "USES;LINKS" ${ARGN})
@@ -11,6 +11,7 @@
     message(FATAL_ERROR "library ${name} has no place in ACACIAHOLD_LAYERS")
   endif()
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/*.cc)
+  list(FILTER sources EXCLUDE REGEX "[.]pb[.]cc$")
   add_library(acaciahold_${name} STATIC ${sources})
   target_link_libraries(acaciahold_${name} PUBLIC acaciahold_options ${ARG_LINKS})
   foreach(used ${ARG_USES})
--- /dev/null
+++ b/lib/Observe/history.cc
@@ -0,0 +1,27 @@
+// Writes history lines.
+
+#include "acaciahold/Observe/history.h"
+
+#include <boost/json/serialize.hpp>
+
+namespace acaciahold::observe {
+
+Result<std::unique_ptr<History>> History::Open(const std::string& path) {
+  std::ofstream out(path, std::ios::app);
+  if (!out) {
+    return leaf::new_error(SystemError{"open " + path, "not writable"});
+  }
+  return std::unique_ptr<History>(new History(std::move(out)));
+}
+
+void History::Write(Instant at, std::string_view kind,
+                    boost::json::object event) {
+  event["at_ns"] = at.time_since_epoch().count();
+  event["kind"] = kind;
+  std::string line = boost::json::serialize(event) + "\n";
+  std::lock_guard lock(mutex_);
+  out_ << line;
+  out_.flush();
+}
+
+}  // namespace acaciahold::observe
--- /dev/null
+++ b/lib/Request/request.cc
@@ -0,0 +1,144 @@
+// The request's state machine.
+
+#include "acaciahold/Request/request.h"
+
+#include <algorithm>
+#include <array>
+
+#include "acaciahold/Support/check.h"
+
+namespace acaciahold::request {
+namespace {
+
+void Finish(Request& request, State state) {
+  AssertInvariant(!IsFinal(request), "a final state never changes");
+  request.state = state;
+}
+
+bool TakeRetry(RetryBudget& budget) {
+  if (budget.tokens < 1.0) {
+    return false;
+  }
+  budget.tokens -= 1.0;
+  return true;
+}
+
+// Waits for another attempt, if the request may be sent again.
+void RetryOrFinish(Request& request, RetryBudget& budget, Refusal refusal,
+                   Instant now) {
+  bool may_resend = request.is_idempotent || !request.may_have_run;
+  if (!may_resend) {
+    Finish(request, State::kUnknown);
+    return;
+  }
+  request.state = State::kWaiting;
+  if (now >= request.deadline) {
+    GiveUp(request, Refusal::kDeadline);
+  } else if (request.attempt >= kMaxAttempts) {
+    GiveUp(request, refusal);
+  } else if (!TakeRetry(budget)) {
+    GiveUp(request, Refusal::kRetryBudget);
+  }
+}
+
+}  // namespace
+
+Request MakeRequest(bool is_idempotent, Instant deadline) {
+  Request request;
+  request.is_idempotent = is_idempotent;
+  request.deadline = deadline;
+  return request;
+}
+
+bool IsIdempotentMethod(std::string_view method) {
+  constexpr std::array<std::string_view, 6> kMethods{
+      "GET", "HEAD", "PUT", "DELETE", "OPTIONS", "TRACE"};
+  return std::find(kMethods.begin(), kMethods.end(), method) != kMethods.end();
+}
+
+uint32_t Dispatch(Request& request, RetryBudget& budget,
+                  upstream::UpstreamId upstream) {
+  AssertInvariant(request.state == State::kWaiting,
+                  "only a waiting request is dispatched");
+  if (request.attempt == 0) {
+    budget.tokens =
+        std::min(kMaxRetryTokens, budget.tokens + kRetriesPerRequest);
+  }
+  request.state = State::kDispatched;
+  request.upstream = upstream;
+  return ++request.attempt;
+}
+
+void OnAttemptEnd(Request& request, RetryBudget& budget, uint32_t attempt,
+                  AttemptEnd end, Instant now) {
+  if (request.state != State::kDispatched || attempt != request.attempt) {
+    return;
+  }
+  switch (end) {
+    case AttemptEnd::kAnswer:
+      Finish(request, State::kAnswered);
+      return;
+    case AttemptEnd::kNotSent:
+      request.refused_by.push_back(request.upstream);
+      RetryOrFinish(request, budget, Refusal::kNoUpstream, now);
+      return;
+    case AttemptEnd::kShed:
+      request.refused_by.push_back(request.upstream);
+      RetryOrFinish(request, budget, Refusal::kShed, now);
+      return;
+    case AttemptEnd::kNoAnswer:
+      request.may_have_run = true;
+      request.refused_by.push_back(request.upstream);
+      RetryOrFinish(request, budget, Refusal::kNoUpstream, now);
+      return;
+  }
+}
+
+void GiveUp(Request& request, Refusal refusal) {
+  if (IsFinal(request)) {
+    return;
+  }
+  if (request.may_have_run || request.state == State::kDispatched) {
+    Finish(request, State::kUnknown);
+    return;
+  }
+  request.refusal = refusal;
+  Finish(request, State::kRefused);
+}
+
+void OnDeadline(Request& request) {
+  GiveUp(request, Refusal::kDeadline);
+}
+
+void OnCancel(Request& request) {
+  if (!IsFinal(request)) {
+    Finish(request, State::kCanceled);
+  }
+}
+
+bool IsFinal(const Request& request) {
+  return request.state != State::kWaiting &&
+         request.state != State::kDispatched;
+}
+
+std::string_view RefusalName(Refusal refusal) {
+  switch (refusal) {
+    case Refusal::kNone:
+      return "none";
+    case Refusal::kNoUpstream:
+      return "no-upstream";
+    case Refusal::kOverloaded:
+      return "overloaded";
+    case Refusal::kDeadline:
+      return "deadline";
+    case Refusal::kShed:
+      return "shed";
+    case Refusal::kRetryBudget:
+      return "retry-budget";
+    case Refusal::kShutdown:
+      return "shutdown";
+  }
+  return "none";
+}
+
+}  // namespace acaciahold::request
--- /dev/null
+++ b/lib/Steering/assignment.cc
@@ -0,0 +1,126 @@
+// Stable matching of buckets and upstreams: every bucket prefers upstreams by
+// weighted rendezvous score, every upstream prefers buckets by the same score
+// and takes as many as its quota. The outcome depends on no order of events.
+
+#include "acaciahold/Steering/assignment.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <queue>
+
+#include "acaciahold/Support/hash.h"
+
+namespace acaciahold::steering {
+namespace {
+
+constexpr double kHashRange = 18446744073709551616.0;  // 2^64.
+
+// Quotas by the largest remainder; ties go by id.
+std::vector<uint32_t> Quotas(std::span<const Candidate> candidates,
+                             uint32_t buckets) {
+  uint64_t total = 0;
+  for (const auto& it : candidates) {
+    total += it.weight;
+  }
+  std::vector<uint32_t> quotas(candidates.size(), 0);
+  if (total == 0) {
+    return quotas;
+  }
+  uint32_t given = 0;
+  std::vector<std::pair<uint64_t, size_t>> remainders;
+  for (size_t i = 0; i < candidates.size(); ++i) {
+    uint64_t exact = uint64_t{candidates[i].weight} * buckets;
+    quotas[i] = static_cast<uint32_t>(exact / total);
+    given += quotas[i];
+    remainders.emplace_back(exact % total, i);
+  }
+  std::sort(remainders.begin(), remainders.end(),
+            [&](const auto& a, const auto& b) {
+              if (a.first != b.first) {
+                return a.first > b.first;
+              }
+              return candidates[a.second].id < candidates[b.second].id;
+            });
+  for (size_t i = 0; given < buckets; ++i, ++given) {
+    ++quotas[remainders[i].second];
+  }
+  return quotas;
+}
+
+// Higher is preferred. Scores of one candidate are spread by its weight.
+double Score(uint64_t key, const Candidate& candidate) {
+  double u = (static_cast<double>(RendezvousScore(key, candidate.id)) + 1.0) /
+             kHashRange;
+  return -static_cast<double>(candidate.weight) / std::log(u);
+}
+
+struct Offer {
+  double score = 0;
+  uint32_t bucket = 0;
+
+  // The weakest accepted offer is on top of its queue.
+  bool operator<(const Offer& other) const {
+    if (score != other.score) {
+      return score > other.score;
+    }
+    return bucket < other.bucket;
+  }
+};
+
+// Preferences of one bucket, best first.
+std::vector<std::pair<double, uint16_t>> Preferences(
+    uint64_t key, std::span<const Candidate> candidates,
+    std::span<const uint32_t> quotas) {
+  std::vector<std::pair<double, uint16_t>> ranked;
+  for (size_t i = 0; i < candidates.size(); ++i) {
+    if (quotas[i] > 0) {
+      ranked.emplace_back(Score(key, candidates[i]), static_cast<uint16_t>(i));
+    }
+  }
+  std::sort(ranked.rbegin(), ranked.rend());
+  return ranked;
+}
+
+}  // namespace
+
+uint64_t RendezvousScore(uint64_t key, uint64_t id) {
+  return CombineHashes(key, id);
+}
+
+std::vector<uint16_t> AssignBuckets(uint64_t service,
+                                    std::span<const Candidate> candidates,
+                                    uint32_t buckets) {
+  std::vector<uint16_t> assigned(buckets, kNoTarget);
+  auto quotas = Quotas(candidates, buckets);
+  std::vector<std::vector<std::pair<double, uint16_t>>> preferences(buckets);
+  for (uint32_t b = 0; b < buckets; ++b) {
+    preferences[b] =
+        Preferences(CombineHashes(service, b), candidates, quotas);
+  }
+  std::vector<size_t> next(buckets, 0);
+  std::vector<std::priority_queue<Offer>> accepted(candidates.size());
+  std::vector<uint32_t> open(buckets);
+  std::iota(open.begin(), open.end(), 0);
+  while (!open.empty()) {
+    uint32_t bucket = open.back();
+    open.pop_back();
+    if (next[bucket] >= preferences[bucket].size()) {
+      continue;
+    }
+    auto [score, target] = preferences[bucket][next[bucket]++];
+    accepted[target].push({score, bucket});
+    if (accepted[target].size() > quotas[target]) {
+      open.push_back(accepted[target].top().bucket);
+      accepted[target].pop();
+    }
+  }
+  for (size_t i = 0; i < accepted.size(); ++i) {
+    for (; !accepted[i].empty(); accepted[i].pop()) {
+      assigned[accepted[i].top().bucket] = static_cast<uint16_t>(i);
+    }
+  }
+  return assigned;
+}
+
+}  // namespace acaciahold::steering
--- /dev/null
+++ b/lib/Steering/flow_shard.cc
@@ -0,0 +1,684 @@
+// Decisions on packets, and the buckets they rest on.
+
+#include "acaciahold/Steering/flow_shard.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "acaciahold/Support/check.h"
+
+namespace acaciahold::steering {
+namespace {
+
+using upstream::UpstreamId;
+
+Decision Drop(Reason reason) {
+  return {.verdict = Verdict::kDrop, .reason = reason, .to = {}, .notice = {}};
+}
+
+Decision Refuse(Reason reason) {
+  return {
+      .verdict = Verdict::kRefuse, .reason = reason, .to = {}, .notice = {}};
+}
+
+Decision Forward(const Target& target) {
+  return {.verdict = Verdict::kForward, .to = target.endpoint, .notice = {}};
+}
+
+bool IsReady(const Plan& plan, HostIndex host) {
+  return host != kNoHost && !plan.hosts[host].is_suspect;
+}
+
+uint32_t PositionOf(uint32_t bucket) {
+  return bucket / kShards;
+}
+
+uint32_t BucketAt(const FlowShard& shard, uint32_t position) {
+  return position * kShards + shard.index;
+}
+
+std::vector<Bucket>& BucketsOf(FlowShard& shard, uint64_t service) {
+  auto& buckets = shard.services[service].buckets;
+  if (buckets.empty()) {
+    buckets.resize(kBucketsPerShard);
+  }
+  return buckets;
+}
+
+UpstreamId DesiredTarget(const ServicePlan& service, uint32_t bucket) {
+  uint16_t index = service.desired[bucket];
+  return index == kNoTarget ? 0 : service.targets[index].id;
+}
+
+void Release(const ServicePlan* service, const Flow& flow) {
+  if (!flow.is_counted || !service) {
+    return;
+  }
+  if (const auto* target = FindTarget(*service, flow.upstream)) {
+    admission::Release(*target->cell);
+  }
+}
+
+void CountHere(Flow& flow, const Target& target) {
+  if (flow.is_counted) {
+    return;
+  }
+  flow.is_counted = true;
+  admission::Adopt(*target.cell);
+}
+
+// Everything that the decision on one packet needs.
+struct Context {
+  FlowShard& shard;
+  const Plan& plan;
+  const ServicePlan& service;
+  const FlowPacket& packet;
+  uint32_t bucket_index;
+  Bucket& bucket;
+  Instant now;
+};
+
+BucketNotice NoticeOf(const Context& c) {
+  return {.service = c.service.id,
+          .bucket = static_cast<uint16_t>(c.bucket_index),
+          .version = c.bucket.version,
+          .assigned = c.bucket.assigned,
+          .added = {},
+          .removed = {}};
+}
+
+Flow& Insert(Context& c, UpstreamId upstream) {
+  Flow flow;
+  flow.upstream = upstream;
+  flow.idle_deadline = c.now + c.service.idle_timeout;
+  ++c.shard.flow_count;
+  return c.bucket.flows.insert_or_assign(c.packet.fingerprint, flow)
+      .first->second;
+}
+
+void Erase(Context& c, std::unordered_map<uint64_t, Flow>::iterator it) {
+  Release(&c.service, it->second);
+  c.bucket.flows.erase(it);
+  --c.shard.flow_count;
+}
+
+// The host that holds the other copy of the bucket.
+HostIndex OtherHolder(const Plan& plan, const Route& route) {
+  return route.owner == plan.self ? route.backup : route.owner;
+}
+
+Decision Park(Context& c, Flow& flow, const Target& target) {
+  auto other = OtherHolder(c.plan, c.service.routes[c.bucket_index]);
+  if (other == kNoHost) {
+    flow.is_replicated = true;
+    return Forward(target);
+  }
+  Decision decision = Forward(target);
+  decision.verdict = Verdict::kPark;
+  decision.notice = NoticeOf(c);
+  decision.notice.added = {{c.packet.fingerprint, flow.upstream}};
+  return decision;
+}
+
+Decision ContinueFlow(Context& c,
+                      std::unordered_map<uint64_t, Flow>::iterator it) {
+  auto& flow = it->second;
+  const auto* target = FindTarget(c.service, flow.upstream);
+  if (!target || !target->is_usable) {
+    Erase(c, it);
+    return Refuse(Reason::kUpstreamGone);
+  }
+  CountHere(flow, *target);
+  flow.is_closing |= c.packet.closes;
+  flow.idle_deadline =
+      c.now + (flow.is_closing ? kClosingTimeout : c.service.idle_timeout);
+  if (!flow.is_replicated) {
+    return Park(c, flow, *target);
+  }
+  if (!flow.is_answered && !c.packet.opens) {
+    flow.is_answered = true;
+    target->cell->successes.fetch_add(1, std::memory_order_relaxed);
+  } else if (c.packet.opens) {
+    // The caller repeats its SYN: the upstream has not answered.
+    target->cell->failures.fetch_add(1, std::memory_order_relaxed);
+  }
+  return Forward(*target);
+}
+
+// Where a new flow goes that its bucket's upstream can't take: upstreams in an
+// order of the flow's own, weighted.
+std::vector<const Target*> Alternatives(const Context& c) {
+  std::vector<std::pair<double, const Target*>> ranked;
+  for (const auto& target : c.service.targets) {
+    if (!target.takes_new || target.weight == 0) {
+      continue;
+    }
+    double u =
+        (static_cast<double>(RendezvousScore(c.packet.fingerprint, target.id)) +
+         1.0) /
+        18446744073709551616.0;
+    ranked.emplace_back(-static_cast<double>(target.weight) / std::log(u),
+                        &target);
+  }
+  std::sort(ranked.rbegin(), ranked.rend());
+  std::vector<const Target*> targets;
+  for (const auto& [score, target] : ranked) {
+    targets.push_back(target);
+  }
+  return targets;
+}
+
+Decision OpenElsewhere(Context& c) {
+  bool is_exhausted = true;
+  auto targets = Alternatives(c);
+  for (const auto* target : targets) {
+    if (!admission::TryAdmit(*target->cell, c.now)) {
+      is_exhausted &= target->cell->is_exhausted.load();
+      continue;
+    }
+    auto& flow = Insert(c, target->id);
+    flow.is_counted = true;
+    bool is_plain =
+        target->id == c.bucket.assigned && c.bucket.moving_to == 0;
+    if (is_plain) {
+      return Forward(*target);
+    }
+    flow.is_replicated = false;
+    return Park(c, flow, *target);
+  }
+  if (targets.empty()) {
+    return Refuse(Reason::kNoUpstream);
+  }
+  return is_exhausted ? Refuse(Reason::kFull) : Drop(Reason::kNoShare);
+}
+
+Decision OpenFlow(Context& c) {
+  if (c.shard.flow_count >= c.shard.max_flows) {
+    return Refuse(Reason::kTableFull);
+  }
+  const auto* target = FindTarget(c.service, c.bucket.assigned);
+  bool is_plain = target && target->takes_new && c.bucket.moving_to == 0;
+  if (is_plain && admission::TryAdmit(*target->cell, c.now)) {
+    Insert(c, target->id).is_counted = true;
+    return Forward(*target);
+  }
+  return OpenElsewhere(c);
+}
+
+// A packet in the middle of a flow that this host has not seen: a quiet flow of
+// an earlier owner, on the assigned upstream, since exceptions are known.
+Decision AdoptFlow(Context& c) {
+  const auto* target = FindTarget(c.service, c.bucket.assigned);
+  if (!target || !target->is_usable) {
+    return Drop(Reason::kInDoubt);
+  }
+  if (c.packet.closes) {
+    return Forward(*target);
+  }
+  if (c.shard.flow_count >= c.shard.max_flows) {
+    return Drop(Reason::kTableFull);
+  }
+  auto& flow = Insert(c, target->id);
+  flow.is_answered = true;
+  CountHere(flow, *target);
+  // While a move waits, the backup learns of this flow too.
+  if (c.bucket.moving_to != 0) {
+    flow.is_replicated = false;
+    return Park(c, flow, *target);
+  }
+  return Forward(*target);
+}
+
+Decision DecideHere(Context& c) {
+  auto it = c.bucket.flows.find(c.packet.fingerprint);
+  bool is_known = it != c.bucket.flows.end();
+  if (is_known && c.packet.opens &&
+      (it->second.is_closing || it->second.is_answered)) {
+    // The caller uses the port again for a new flow.
+    Erase(c, it);
+    return OpenFlow(c);
+  }
+  if (is_known) {
+    return ContinueFlow(c, it);
+  }
+  bool is_new =
+      c.packet.opens || (!c.packet.is_tcp && c.now >= c.bucket.settled_at);
+  return is_new ? OpenFlow(c) : AdoptFlow(c);
+}
+
+// Passes the packet to the host that decides for the bucket, if that is
+// another one.
+std::optional<Decision> PassOn(const Plan& plan, const Route& route,
+                               const FlowPacket& packet) {
+  bool is_owner_ready = IsReady(plan, route.owner) || route.owner == plan.self;
+  HostIndex decider = is_owner_ready || !IsReady(plan, route.backup)
+                          ? route.owner
+                          : route.backup;
+  if (packet.is_acting || decider == plan.self) {
+    return std::nullopt;
+  }
+  if (packet.hops >= kMaxHops) {
+    return Drop(Reason::kTooManyHops);
+  }
+  return Decision{.verdict = Verdict::kPass,
+                  .to = plan.hosts[decider].peer,
+                  .pass_acting = decider != route.owner,
+                  .notice = {}};
+}
+
+Decision PassToBackup(const Plan& plan, const Route& route,
+                      const FlowPacket& packet) {
+  bool can_pass = !packet.is_acting && packet.hops < kMaxHops &&
+                  route.backup != plan.self && IsReady(plan, route.backup);
+  if (!can_pass) {
+    return Drop(Reason::kSettling);
+  }
+  return {.verdict = Verdict::kPass,
+          .to = plan.hosts[route.backup].peer,
+          .pass_acting = true,
+          .notice = {}};
+}
+
+void Retire(Bucket& bucket, Duration idle_timeout, Instant now) {
+  bucket.phase = BucketPhase::kRetired;
+  bucket.is_owned = false;
+  bucket.is_merged = false;
+  bucket.was_idle = false;
+  bucket.moving_to = 0;
+  for (auto& [fingerprint, flow] : bucket.flows) {
+    flow.idle_deadline = std::min(flow.idle_deadline, now + idle_timeout);
+  }
+}
+
+void MakeHeld(Bucket& bucket, const ServicePlan& service, uint32_t index,
+              bool is_new, Instant now) {
+  bucket.phase = BucketPhase::kHeld;
+  if (bucket.assigned == 0) {
+    bucket.assigned = DesiredTarget(service, index);
+  }
+  bool is_settled = is_new || bucket.was_idle;
+  bucket.settled_at = is_settled ? now : now + service.idle_timeout;
+}
+
+bool UpdateBucket(Bucket& bucket, const ServicePlan& service, uint32_t index,
+                  HostIndex self, Instant now) {
+  const auto& route = service.routes[index];
+  bool is_owner = route.owner == self;
+  if (!is_owner && route.backup != self) {
+    if (bucket.phase == BucketPhase::kHeld) {
+      Retire(bucket, service.idle_timeout, now);
+    }
+    return false;
+  }
+  if (is_owner && !bucket.is_owned) {
+    bucket.settled_at = now + service.idle_timeout;
+  }
+  bucket.is_owned = is_owner;
+  return bucket.phase != BucketPhase::kHeld;
+}
+
+void DropRemovedServices(FlowShard& shard, const Plan& plan) {
+  for (auto it = shard.services.begin(); it != shard.services.end();) {
+    if (FindService(plan, it->first)) {
+      ++it;
+      continue;
+    }
+    for (const auto& bucket : it->second.buckets) {
+      shard.flow_count -= bucket.flows.size();
+    }
+    it = shard.services.erase(it);
+  }
+}
+
+BucketNotice StateOf(const Bucket& bucket, uint64_t service, uint32_t index,
+                     Instant now) {
+  BucketNotice notice;
+  notice.is_idle = bucket.phase == BucketPhase::kHeld && bucket.is_owned &&
+                   now >= bucket.settled_at && bucket.flows.empty();
+  notice.service = service;
+  notice.bucket = static_cast<uint16_t>(index);
+  notice.version = bucket.version;
+  notice.assigned = bucket.assigned;
+  for (const auto& [fingerprint, flow] : bucket.flows) {
+    if (flow.upstream != bucket.assigned) {
+      notice.added.push_back({fingerprint, flow.upstream});
+    }
+  }
+  return notice;
+}
+
+// The flows that stay where they are when the bucket moves.
+BucketNotice MoveNotice(const Bucket& bucket, uint64_t service, uint32_t index,
+                        UpstreamId moving_to) {
+  BucketNotice notice;
+  notice.service = service;
+  notice.bucket = static_cast<uint16_t>(index);
+  notice.version = bucket.version + 1;
+  notice.assigned = moving_to;
+  for (const auto& [fingerprint, flow] : bucket.flows) {
+    if (flow.upstream == bucket.assigned) {
+      notice.added.push_back({fingerprint, flow.upstream});
+    }
+  }
+  return notice;
+}
+
+void CompleteMove(Bucket& bucket, const BucketNotice& notice) {
+  bucket.assigned = notice.assigned;
+  bucket.version = notice.version;
+  bucket.moving_to = 0;
+}
+
+// Starts the bucket's move, if one is due. Nothing where the backup needs no
+// notice.
+std::optional<BucketNotice> StartMove(Bucket& bucket,
+                                      const ServicePlan& service,
+                                      uint32_t index, Instant now) {
+  if (!bucket.is_owned || bucket.phase != BucketPhase::kHeld ||
+      bucket.moving_to != 0) {
+    return std::nullopt;
+  }
+  UpstreamId desired = DesiredTarget(service, index);
+  if (desired == 0 || desired == bucket.assigned) {
+    return std::nullopt;
+  }
+  const auto* old = FindTarget(service, bucket.assigned);
+  bool is_lost = !old || !old->is_usable;
+  if (!is_lost && now < bucket.settled_at) {
+    return std::nullopt;
+  }
+  auto notice = MoveNotice(bucket, service.id, index, desired);
+  bool has_backup = service.routes[index].backup != kNoHost;
+  if (is_lost || !has_backup) {
+    notice.added.clear();
+    CompleteMove(bucket, notice);
+  } else {
+    bucket.moving_to = desired;
+  }
+  if (!has_backup) {
+    return std::nullopt;
+  }
+  return notice;
+}
+
+Bucket* FindBucket(FlowShard& shard, const BucketNotice& notice) {
+  auto it = shard.services.find(notice.service);
+  if (it == shard.services.end() || notice.bucket >= kBucketsPerService) {
+    return nullptr;
+  }
+  return &it->second.buckets[PositionOf(notice.bucket)];
+}
+
+void RemoveFlow(FlowShard& shard, Bucket& bucket, const ServicePlan* service,
+                uint64_t fingerprint) {
+  auto it = bucket.flows.find(fingerprint);
+  if (it == bucket.flows.end() || it->second.is_counted) {
+    return;  // A counted flow is alive here; its own deadline ends it.
+  }
+  Release(service, it->second);
+  bucket.flows.erase(it);
+  --shard.flow_count;
+}
+
+// Ends the bucket's expired flows; returns fingerprints of ended exceptions.
+std::vector<uint64_t> SweepBucket(FlowShard& shard, Bucket& bucket,
+                                  const ServicePlan* service, Instant now) {
+  std::vector<uint64_t> ended;
+  for (auto it = bucket.flows.begin(); it != bucket.flows.end();) {
+    bool is_copy = !it->second.is_counted && !bucket.is_owned &&
+                   bucket.phase == BucketPhase::kHeld;
+    if (is_copy || now < it->second.idle_deadline) {
+      ++it;
+      continue;
+    }
+    if (it->second.upstream != bucket.assigned) {
+      ended.push_back(it->first);
+    }
+    Release(service, it->second);
+    it = bucket.flows.erase(it);
+    --shard.flow_count;
+  }
+  return ended;
+}
+
+}  // namespace
+
+std::string_view ReasonName(Reason reason) {
+  switch (reason) {
+    case Reason::kNone:
+      return "none";
+    case Reason::kNoUpstream:
+      return "no-upstream";
+    case Reason::kFull:
+      return "full";
+    case Reason::kNoShare:
+      return "no-share";
+    case Reason::kSettling:
+      return "settling";
+    case Reason::kTooManyHops:
+      return "too-many-hops";
+    case Reason::kUpstreamGone:
+      return "upstream-gone";
+    case Reason::kInDoubt:
+      return "in-doubt";
+    case Reason::kTableFull:
+      return "table-full";
+  }
+  return "none";
+}
+
+uint32_t BucketOf(uint64_t fingerprint) {
+  return static_cast<uint32_t>(fingerprint % kBucketsPerService);
+}
+
+uint32_t ShardOf(uint32_t bucket) {
+  return bucket % kShards;
+}
+
+Decision Decide(FlowShard& shard, const ServicePlan& service,
+                const FlowPacket& packet, Instant now) {
+  const Plan& plan = *shard.plan;
+  uint32_t index = BucketOf(packet.fingerprint);
+  AssertInvariant(ShardOf(index) == shard.index, "the packet's own shard");
+  const auto& route = service.routes[index];
+  if (auto pass = PassOn(plan, route, packet)) {
+    return *pass;
+  }
+  auto& bucket = BucketsOf(shard, service.id)[PositionOf(index)];
+  if (bucket.phase != BucketPhase::kHeld) {
+    return PassToBackup(plan, route, packet);
+  }
+  Context context{shard, plan, service, packet, index, bucket, now};
+  return DecideHere(context);
+}
+
+bool OnPlan(FlowShard& shard, std::shared_ptr<const Plan> plan, Instant now) {
+  bool needs_pull = false;
+  shard.plan = std::move(plan);
+  DropRemovedServices(shard, *shard.plan);
+  for (const auto& service : shard.plan->services) {
+    auto& buckets = BucketsOf(shard, service->id);
+    for (uint32_t i = 0; i < kBucketsPerShard; ++i) {
+      needs_pull |= UpdateBucket(buckets[i], *service, BucketAt(shard, i),
+                                 shard.plan->self, now);
+    }
+  }
+  return needs_pull;
+}
+
+void OnPullsDone(FlowShard& shard, std::span<const uint64_t> held_by_peers,
+                 Instant now) {
+  const Plan& plan = *shard.plan;
+  for (const auto& service : plan.services) {
+    auto& buckets = BucketsOf(shard, service->id);
+    bool is_held = std::any_of(
+        buckets.begin(), buckets.end(),
+        [](const Bucket& b) { return b.phase != BucketPhase::kEmpty; });
+    bool is_new = !is_held && std::find(held_by_peers.begin(),
+                                        held_by_peers.end(),
+                                        service->id) == held_by_peers.end();
+    if (is_new) {
+      shard.services[service->id].new_until = now + kNewServiceTimeout;
+    }
+    for (uint32_t i = 0; i < kBucketsPerShard; ++i) {
+      uint32_t index = BucketAt(shard, i);
+      const auto& route = service->routes[index];
+      bool is_here = route.owner == plan.self || route.backup == plan.self;
+      if (is_here && buckets[i].phase != BucketPhase::kHeld) {
+        MakeHeld(buckets[i], *service, index, is_new, now);
+      }
+    }
+  }
+}
+
+std::vector<BucketNotice> StartMoves(FlowShard& shard, size_t max_bytes,
+                                     Instant now) {
+  std::vector<BucketNotice> notices;
+  size_t bytes = 0;
+  if (!shard.plan) {
+    return notices;
+  }
+  for (const auto& service : shard.plan->services) {
+    auto& buckets = BucketsOf(shard, service->id);
+    for (uint32_t i = 0; i < kBucketsPerShard && bytes < max_bytes; ++i) {
+      auto notice = StartMove(buckets[i], *service, BucketAt(shard, i), now);
+      if (notice) {
+        bytes += NoticeBytes(*notice);
+        notices.push_back(std::move(*notice));
+      }
+    }
+  }
+  return notices;
+}
+
+void OnNoticeStored(FlowShard& shard, const BucketNotice& notice) {
+  auto* bucket = FindBucket(shard, notice);
+  if (!bucket) {
+    return;
+  }
+  for (const auto& exception : notice.added) {
+    auto it = bucket->flows.find(exception.fingerprint);
+    if (it != bucket->flows.end() &&
+        it->second.upstream == exception.upstream) {
+      it->second.is_replicated = true;
+    }
+  }
+  if (bucket->moving_to == notice.assigned && bucket->moving_to != 0 &&
+      notice.version == bucket->version + 1) {
+    CompleteMove(*bucket, notice);
+  }
+}
+
+void OnNoticeLost(FlowShard& shard, const BucketNotice& notice) {
+  auto* bucket = FindBucket(shard, notice);
+  if (bucket && notice.version == bucket->version + 1) {
+    bucket->moving_to = 0;
+  }
+}
+
+void MergeNotice(FlowShard& shard, const BucketNotice& notice, Instant now) {
+  const auto* service =
+      shard.plan ? FindService(*shard.plan, notice.service) : nullptr;
+  if (!service || notice.bucket >= kBucketsPerService) {
+    return;
+  }
+  auto& bucket =
+      BucketsOf(shard, notice.service)[PositionOf(notice.bucket)];
+  if (notice.version > bucket.version || bucket.assigned == 0) {
+    bucket.version = std::max(bucket.version, notice.version);
+    bucket.assigned = notice.assigned;
+    bucket.moving_to = 0;
+  }
+  bool is_first_word = bucket.phase == BucketPhase::kEmpty && !bucket.is_merged;
+  bucket.was_idle = notice.is_idle && (is_first_word || bucket.was_idle);
+  bucket.is_merged = true;
+  for (const auto& exception : notice.added) {
+    auto [it, is_new] = bucket.flows.try_emplace(exception.fingerprint);
+    if (!is_new) {
+      continue;
+    }
+    ++shard.flow_count;
+    it->second.upstream = exception.upstream;
+    it->second.is_answered = true;
+    it->second.idle_deadline = now + service->idle_timeout;
+  }
+  for (uint64_t fingerprint : notice.removed) {
+    RemoveFlow(shard, bucket, service, fingerprint);
+  }
+}
+
+std::vector<BucketNotice> Sweep(FlowShard& shard, Instant now) {
+  constexpr uint32_t kParts = 8;
+  std::vector<BucketNotice> notices;
+  uint32_t part = shard.sweep_position++ % kParts;
+  for (auto& [service_id, held] : shard.services) {
+    auto& buckets = held.buckets;
+    const auto* service = FindService(*shard.plan, service_id);
+    for (uint32_t i = part; i < kBucketsPerShard; i += kParts) {
+      auto ended = SweepBucket(shard, buckets[i], service, now);
+      if (ended.empty() || !buckets[i].is_owned) {
+        continue;
+      }
+      auto notice = BucketNotice{.service = service_id,
+                                 .bucket = static_cast<uint16_t>(
+                                     BucketAt(shard, i)),
+                                 .version = buckets[i].version,
+                                 .assigned = buckets[i].assigned,
+                                 .added = {},
+                                 .removed = std::move(ended)};
+      notices.push_back(std::move(notice));
+    }
+  }
+  return notices;
+}
+
+std::vector<BucketNotice> ExportFor(const FlowShard& shard,
+                                    membership::HostId host, Instant now) {
+  std::vector<BucketNotice> notices;
+  if (!shard.plan) {
+    return notices;
+  }
+  const Plan& plan = *shard.plan;
+  for (const auto& [service_id, held] : shard.services) {
+    const auto& buckets = held.buckets;
+    const auto* service = FindService(plan, service_id);
+    if (!service) {
+      continue;
+    }
+    for (uint32_t i = 0; i < kBucketsPerShard; ++i) {
+      uint32_t index = BucketAt(shard, i);
+      const auto& route = service->routes[index];
+      auto is_host = [&](HostIndex h) {
+        return h != kNoHost && plan.hosts[h].id == host;
+      };
+      bool is_asked = is_host(route.owner) || is_host(route.backup);
+      if (is_asked && buckets[i].phase != BucketPhase::kEmpty) {
+        notices.push_back(StateOf(buckets[i], service_id, index, now));
+      }
+    }
+  }
+  return notices;
+}
+
+std::vector<uint64_t> HeldServices(const FlowShard& shard, Instant now) {
+  std::vector<uint64_t> held;
+  for (const auto& [id, service] : shard.services) {
+    bool is_held =
+        std::any_of(service.buckets.begin(), service.buckets.end(),
+                    [](const Bucket& b) { return b.phase != BucketPhase::kEmpty; });
+    if (is_held && now >= service.new_until) {
+      held.push_back(id);
+    }
+  }
+  return held;
+}
+
+size_t NoticeBytes(const BucketNotice& notice) {
+  constexpr size_t kHeaderBytes = 24;
+  constexpr size_t kExceptionBytes = 16;
+  constexpr size_t kRemovedBytes = 9;
+  return kHeaderBytes + notice.added.size() * kExceptionBytes +
+         notice.removed.size() * kRemovedBytes;
+}
+
+}  // namespace acaciahold::steering
