Run the whole path as real processes

Change: the Asio shell around the core, HTTP between hosts, the command line, metrics, traces, and stand-ins for fabric, callers and upstreams.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -2,7 +2,7 @@
 # lower layers, which is checked here, so that nothing includes upward.
 set(ACACIAHOLD_LAYERS
     Support Yaml Observe Packet Table Config Consensus Storage Membership
-    Upstream Admission Steering Wire Entry Request Host Operator)
+    Upstream Admission Steering Wire Entry Request Http Host Operator)
 
 function(acaciahold_library name)
   cmake_parse_arguments(ARG "" "" "USES;LINKS" ${ARGN})
--- a/include/acaciahold/Membership/membership.h
+++ b/include/acaciahold/Membership/membership.h
@@ -116,6 +116,8 @@
 
 HostId MakeHostId(std::string_view name);
 
+std::string_view StateName(MemberState state);
+
 // `seeds` are the peers that the settings name; they count as alive until they
 // prove silent.
 Membership StartMembership(HostRecord self,
--- a/include/acaciahold/Steering/plan.h
+++ b/include/acaciahold/Steering/plan.h
@@ -28,6 +28,7 @@
   membership::HostId id = 0;
   std::string failure_domain;
   Endpoint peer;
+  Endpoint admin;
   bool is_suspect = false;
 };
 
--- a/include/acaciahold/Yaml/field_reader.h
+++ b/include/acaciahold/Yaml/field_reader.h
@@ -11,7 +11,7 @@
 #include <string_view>
 #include <vector>
 
-#include <yaml-cpp/node/node.h>
+#include <yaml-cpp/yaml.h>
 
 #include "acaciahold/Support/address.h"
 #include "acaciahold/Support/error.h"
--- a/lib/Membership/membership.cc
+++ b/lib/Membership/membership.cc
@@ -255,6 +255,20 @@
   return HashText(name);
 }
 
+std::string_view StateName(MemberState state) {
+  switch (state) {
+    case MemberState::kAlive:
+      return "alive";
+    case MemberState::kSuspect:
+      return "suspect";
+    case MemberState::kDead:
+      return "dead";
+    case MemberState::kLeft:
+      return "left";
+  }
+  return "dead";
+}
+
 Membership StartMembership(HostRecord self, std::span<const HostRecord> seeds,
                            uint64_t seed, Instant now) {
   Membership membership;
--- /dev/null
+++ b/lib/Request/key_table.cc
@@ -0,0 +1,118 @@
+// Keeping and dropping of key records.
+
+#include "acaciahold/Request/key_table.h"
+
+namespace acaciahold::request {
+namespace {
+
+void DropAnswer(KeyTable& table, KeyRecord& record) {
+  if (record.answer) {
+    table.kept_bytes -= record.answer->body.size();
+    record.answer.reset();
+  }
+}
+
+// Answers of the oldest keys go first; their records stay.
+void MakeRoom(KeyTable& table, size_t bytes) {
+  while (table.kept_bytes + bytes > kMaxKeptBytes &&
+         !table.kept_order.empty()) {
+    auto it = table.records.find(table.kept_order.front());
+    if (it != table.records.end()) {
+      DropAnswer(table, it->second);
+    }
+    table.kept_order.pop_front();
+  }
+}
+
+KeyRecord& Insert(KeyTable& table, const std::string& key,
+                  uint64_t request_hash, Instant now) {
+  auto [it, is_new] = table.records.try_emplace(key);
+  if (is_new) {
+    table.order.push_back(key);
+    it->second.request_hash = request_hash;
+    it->second.expires_at = now + kKeyLifetime;
+  }
+  return it->second;
+}
+
+}  // namespace
+
+KeyLookup BeginKey(KeyTable& table, const std::string& key,
+                   uint64_t request_hash, Instant now) {
+  ExpireKeys(table, now);
+  auto it = table.records.find(key);
+  if (it == table.records.end()) {
+    if (table.records.size() >= kMaxKeys) {
+      return {KeyVerdict::kTableFull, {}};
+    }
+    Insert(table, key, request_hash, now).is_running_here = true;
+    return {KeyVerdict::kNew, {}};
+  }
+  const auto& record = it->second;
+  if (record.request_hash != request_hash) {
+    return {KeyVerdict::kOtherBody, {}};
+  }
+  if (record.answer) {
+    return {KeyVerdict::kAnswered, *record.answer};
+  }
+  if (record.is_running_here) {
+    return {KeyVerdict::kRunning, {}};
+  }
+  return {KeyVerdict::kUnknown, {}};
+}
+
+void StoreKey(KeyTable& table, const std::string& key, uint64_t request_hash,
+              Instant now) {
+  ExpireKeys(table, now);
+  Insert(table, key, request_hash, now);
+}
+
+void FinishKey(KeyTable& table, const std::string& key, KeptAnswer answer) {
+  auto it = table.records.find(key);
+  if (it == table.records.end()) {
+    return;
+  }
+  auto& record = it->second;
+  DropAnswer(table, record);
+  record.state = KeyState::kAnswered;
+  record.is_running_here = false;
+  if (answer.body.size() > kMaxKeptAnswerBytes) {
+    return;
+  }
+  MakeRoom(table, answer.body.size());
+  table.kept_bytes += answer.body.size();
+  table.kept_order.push_back(key);
+  record.answer = std::move(answer);
+}
+
+void ForgetKey(KeyTable& table, const std::string& key) {
+  auto it = table.records.find(key);
+  if (it == table.records.end()) {
+    return;
+  }
+  DropAnswer(table, it->second);
+  table.records.erase(it);
+}
+
+void LoseKey(KeyTable& table, const std::string& key) {
+  auto it = table.records.find(key);
+  if (it != table.records.end()) {
+    it->second.is_running_here = false;
+  }
+}
+
+void ExpireKeys(KeyTable& table, Instant now) {
+  while (!table.order.empty()) {
+    auto it = table.records.find(table.order.front());
+    if (it != table.records.end()) {
+      if (now < it->second.expires_at) {
+        return;
+      }
+      DropAnswer(table, it->second);
+      table.records.erase(it);
+    }
+    table.order.pop_front();
+  }
+}
+
+}  // namespace acaciahold::request
--- a/lib/Steering/plan.cc
+++ b/lib/Steering/plan.cc
@@ -113,7 +113,7 @@
       continue;
     }
     plan->hosts.push_back({member.host.id, member.host.failure_domain,
-                           member.host.peer,
+                           member.host.peer, member.host.admin,
                            member.state == membership::MemberState::kSuspect});
   }
   std::sort(plan->hosts.begin(), plan->hosts.end(),
--- /dev/null
+++ b/test/quickstart/main.cc
@@ -0,0 +1,224 @@
+// Starts a whole deployment on loopback, sends flows and requests through it,
+// takes a failure domain out and back by editing the table, and prints the
+// three measures. Exits 0 if no flow broke and every request was answered once.
+
+#include <algorithm>
+#include <cstdio>
+#include <iostream>
+#include <string>
+#include <thread>
+
+#include "deployment.h"
+#include "flow_lab.h"
+#include "request_load.h"
+#include "upstream_fleet.h"
+
+namespace {
+
+using namespace acaciahold;            // NOLINT(google-build-using-namespace)
+using namespace acaciahold::standins;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kFlowUpstreams = 14;
+constexpr int kOrderUpstreams = 14;
+constexpr int kLedgerUpstreams = 4;
+constexpr int kFlows = 1'400;
+constexpr double kOrdersPerSecond = 200;
+constexpr uint64_t kSeed = 7;
+constexpr uint16_t kUpstreamPort = 7000;
+
+const Endpoint kFeedAddress{(10U << 24U) | (9U << 16U) | 1U, 7000};
+
+std::string TableText(const std::string& domains) {
+  auto row = [&](const std::string& name, const std::string& kind,
+                 const std::string& address, const std::string& limits) {
+    return "  - name: " + name + "\n    kind: " + kind +
+           "\n    address: \"" + address + "\"\n    limits: " + limits +
+           "\n    failure_domains: [" + domains + "]\n";
+  };
+  return "services:\n" +
+         row("stock-feed", "flow", FormatEndpoint(kFeedAddress),
+             "{slots: 3, connections: 2000, cold: 50}") +
+         row("orders", "request", "10.9.0.2:80",
+             "{slots: 3, connections: 2000, cold: 1}") +
+         row("returns", "request", "10.9.0.3:80",
+             "{slots: 3, connections: 2000, cold: 1}");
+}
+
+double PeakOverMean(const std::map<std::string, uint64_t>& counts) {
+  uint64_t peak = 0;
+  uint64_t sum = 0;
+  for (const auto& [name, n] : counts) {
+    peak = std::max(peak, n);
+    sum += n;
+  }
+  return sum == 0 ? 0
+                  : static_cast<double>(peak) * counts.size() /
+                        static_cast<double>(sum);
+}
+
+struct OrderCounts {
+  uint64_t answered = 0;
+  uint64_t refused = 0;
+  uint64_t other = 0;
+};
+
+OrderCounts Count(const std::vector<Order>& orders) {
+  OrderCounts counts;
+  for (const auto& order : orders) {
+    if (order.end == OrderEnd::kAnswered) {
+      ++counts.answered;
+    } else if (order.end == OrderEnd::kRefused) {
+      ++counts.refused;
+    } else {
+      ++counts.other;
+    }
+  }
+  return counts;
+}
+
+void Pause(seconds time) {
+  std::this_thread::sleep_for(time);
+}
+
+int Fail(const std::string& what) {
+  std::cout << "FAILED: " << what << "\n";
+  return 1;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  if (argc != 3) {
+    std::cerr << "usage: acaciahold_quickstart BINARY FOLDER\n";
+    return 2;
+  }
+  Deployment deployment(argv[1], argv[2], {.traces = true});
+  deployment.StartAll();
+  std::cout << "started 6 entry hosts and 3 control hosts in 4 failure "
+               "domains; logs and traces are in "
+            << argv[2] << "\n";
+  if (!deployment.AwaitSettled(0, 6, seconds(15))) {
+    return Fail("the entry hosts did not find each other");
+  }
+  int code = 1;
+  AwaitCondition(
+      [&] { return (code = deployment.ApplyTable(TableText(
+                        "fd1, fd2, fd3, fd4"))) == 0; },
+      seconds(15));
+  if (code != 0 || !deployment.AwaitRevision(1, seconds(8))) {
+    return Fail("the table did not come into force");
+  }
+
+  std::map<std::string, std::vector<Endpoint>> announce_to;
+  std::vector<Endpoint> packets;
+  std::vector<Endpoint> requests;
+  for (const auto& host : deployment.entries()) {
+    announce_to[host.failure_domain].push_back(host.admin);
+    packets.push_back(host.packets);
+    requests.push_back(host.requests);
+  }
+  UpstreamFleet fleet(announce_to, 2);
+  FlowLab lab(packets, deployment.StandinAddress(3, 250, 6000), kSeed);
+  for (int i = 0; i < kFlowUpstreams; ++i) {
+    auto at = deployment.StandinAddress(4, i + 1, kUpstreamPort);
+    auto domain = deployment.DomainName(i % 4);
+    lab.AddUpstream({"stock-feed", kFeedAddress, at, domain});
+    fleet.Add({"stock-feed", domain, at});
+  }
+  for (int i = 0; i < kOrderUpstreams + kLedgerUpstreams; ++i) {
+    bool is_order = i < kOrderUpstreams;
+    auto at = deployment.StandinAddress(5, i + 1, kUpstreamPort);
+    fleet.Add({is_order ? "orders" : "returns", deployment.DomainName(i % 4),
+               at, 3, 1, milliseconds(5), milliseconds(1000)});
+  }
+  size_t upstreams = kFlowUpstreams + kOrderUpstreams + kLedgerUpstreams;
+  if (!deployment.AwaitSettled(upstreams, 6, seconds(15))) {
+    return Fail("the upstreams did not become known everywhere");
+  }
+
+  lab.AddFlows("stock-feed", kFeedAddress, kFlows, milliseconds(8'000));
+  bool are_open = AwaitCondition(
+      [&] { return lab.Report().open >= kFlows; }, milliseconds(30'000));
+  std::cout << "opened " << lab.Report().open << " flows\n";
+  if (!are_open) {
+    return Fail("not every flow could be opened");
+  }
+  RequestLoad orders(requests, "/orders/new", kSeed);
+  RequestLoad returns(requests, "/returns/batch", kSeed + 1);
+  orders.Start(kOrdersPerSecond, milliseconds(10'000), true);
+  returns.Start(kOrdersPerSecond / 10, milliseconds(10'000), true);
+  Pause(seconds(3));
+  auto steady = lab.Report();
+  double flow_imbalance = PeakOverMean(steady.open_by_upstream["stock-feed"]);
+
+  std::cout << "taking fd4 out of service\n";
+  if (deployment.ApplyTable(TableText("fd1, fd2, fd3")) != 0) {
+    return Fail("the edit did not come into force in time");
+  }
+  lab.GiveUpDomain("fd4");
+  Pause(seconds(1));
+  lab.TakeArrivals("fd4");
+  Pause(seconds(2));
+  uint64_t late = lab.TakeArrivals("fd4");
+  std::cout << "taking fd4 back into service\n";
+  if (deployment.ApplyTable(TableText("fd1, fd2, fd3, fd4")) != 0) {
+    return Fail("the edit did not come into force in time");
+  }
+  orders.Drain();
+  returns.Drain();
+  auto counts = Count(orders.Orders());
+  auto return_counts = Count(returns.Orders());
+  auto report = lab.Report();
+  auto runs = fleet.RunsByUpstream("orders");
+  std::map<std::string, uint64_t> by_upstream;
+  for (size_t i = 0; i < runs.size(); ++i) {
+    by_upstream[std::to_string(i)] = runs[i];
+  }
+  auto fleet_report = fleet.Report();
+  std::printf("\nmeasures (seed %llu)\n",
+              static_cast<unsigned long long>(kSeed));
+  std::printf(
+      "  broken flows           %llu of %llu (moved %llu, reset %llu, stalled "
+      "%llu); %llu given up with fd4\n",
+      static_cast<unsigned long long>(report.Broken()),
+      static_cast<unsigned long long>(report.opened),
+      static_cast<unsigned long long>(report.broken_moved),
+      static_cast<unsigned long long>(report.broken_reset),
+      static_cast<unsigned long long>(report.broken_stalled),
+      static_cast<unsigned long long>(report.given_up));
+  std::printf("  packets at a wrong service  %llu, changed on the way %llu\n",
+              static_cast<unsigned long long>(report.wrong_service),
+              static_cast<unsigned long long>(report.changed));
+  std::printf("  imbalance, peak over mean   open flows %.3f, orders run %.3f\n",
+              flow_imbalance, PeakOverMean(by_upstream));
+  std::printf(
+      "  service while fd4 left and returned: %llu orders and %llu returns "
+      "answered, %llu refused, %llu otherwise; packets in fd4 after it left "
+      "%llu\n",
+      static_cast<unsigned long long>(counts.answered),
+      static_cast<unsigned long long>(return_counts.answered),
+      static_cast<unsigned long long>(counts.refused + return_counts.refused),
+      static_cast<unsigned long long>(counts.other + return_counts.other),
+      static_cast<unsigned long long>(late));
+  std::printf("  requests run twice %llu, beyond an upstream's slots %llu\n",
+              static_cast<unsigned long long>(fleet_report.ran_twice),
+              static_cast<unsigned long long>(fleet_report.overloaded));
+  for (auto& host : deployment.entries()) {
+    host.process->Signal(SIGTERM);
+  }
+  int bad_exits = 0;
+  for (auto& host : deployment.entries()) {
+    bad_exits += host.process->Wait() != 0;
+  }
+  for (auto& host : deployment.controls()) {
+    host.process->Signal(SIGTERM);
+    bad_exits += host.process->Wait() != 0;
+  }
+  bool is_good = report.Broken() == 0 && report.wrong_service == 0 &&
+                 late == 0 && counts.other + return_counts.other == 0 &&
+                 fleet_report.ran_twice == 0 && bad_exits == 0;
+  std::cout << (is_good ? "all promises held\n" : "FAILED\n");
+  return is_good ? 0 : 1;
+}
