Test the cores, and bind votes to data folders

Change: the member list names each member's data folder; the first election of a deployment takes every member's vote, and its winner writes the folders down. Unit tests for all cores, with a checker that is tested on planted faults. Conclusion: a wiped control host can't vote under its old id.

--- a/include/acaciahold/Consensus/message.h
+++ b/include/acaciahold/Consensus/message.h
@@ -18,11 +18,14 @@
 using Term = uint64_t;
 using Index = uint64_t;  // The first entry has index 1.
 
-// A member of the group. A learner receives the log and has no vote.
+// A member of the group. A learner receives the log and has no vote. The
+// instance names the member's data folder: a replica that comes back with
+// another folder under its old id has lost its votes, and is not listened to.
 struct Member {
   ReplicaId id = 0;
   Endpoint admin;
   bool is_voter = true;
+  uint64_t instance = 0;  // 0 until a leader has written it down.
 
   bool operator==(const Member&) const = default;
 };
@@ -52,20 +55,10 @@
   bool operator==(const Snapshot&) const = default;
 };
 
-// A peer's data folder, as first met. A replica that comes back with another
-// folder under its old id has lost its votes, and is not listened to.
-struct InstancePin {
-  ReplicaId id = 0;
-  uint64_t instance = 0;
-
-  bool operator==(const InstancePin&) const = default;
-};
-
 // What a replica must not forget between restarts, besides the log.
 struct HardState {
   Term term = 0;
   ReplicaId voted_for = 0;  // 0 for nobody in this term.
-  std::vector<InstancePin> pins;
 
   bool operator==(const HardState&) const = default;
 };
--- a/include/acaciahold/Consensus/replica.h
+++ b/include/acaciahold/Consensus/replica.h
@@ -14,7 +14,6 @@
 #include <map>
 #include <optional>
 #include <random>
-#include <set>
 #include <vector>
 
 #include "acaciahold/Consensus/message.h"
@@ -35,6 +34,7 @@
   Index match = 0;  // Known to be stored there.
   Instant heard_at;
   Instant resend_deadline;  // Nothing is sent again before it.
+  uint64_t instance = 0;    // Of the data folder that answers.
 };
 
 // Durable changes, in the order of writing: hard state, snapshot, log.
@@ -75,7 +75,7 @@
   Instant heartbeat_deadline;
   // When a leader was last heard, or, for the leader, when a majority was.
   Instant current_as_of;
-  std::set<ReplicaId> votes;
+  std::map<ReplicaId, uint64_t> votes;  // With the voters' instances.
   std::map<ReplicaId, Progress> progress;
   std::vector<Member> members;  // The newest in the log, committed or not.
   Index members_index = 0;      // Where they stand in the log.
--- a/lib/Consensus/message.cc
+++ b/lib/Consensus/message.cc
@@ -44,7 +44,8 @@
     auto packed = NumberAt<uint64_t>(object, "admin");
     members.push_back({NumberAt<ReplicaId>(object, "id"),
                        UnpackEndpoint(packed),
-                       object.at("is_voter").as_bool()});
+                       object.at("is_voter").as_bool(),
+                       NumberAt<uint64_t>(object, "instance")});
   }
   return members;
 }
@@ -68,11 +69,6 @@
   HardState state;
   state.term = NumberAt<Term>(object, "term");
   state.voted_for = NumberAt<ReplicaId>(object, "voted_for");
-  for (const auto& it : object.at("pins").as_array()) {
-    const auto& pin = it.as_object();
-    state.pins.push_back(
-        {NumberAt<ReplicaId>(pin, "id"), NumberAt<uint64_t>(pin, "instance")});
-  }
   return state;
 }
 
@@ -106,7 +102,8 @@
   for (const auto& member : members) {
     array.push_back({{"id", member.id},
                      {"admin", PackEndpoint(member.admin)},
-                     {"is_voter", member.is_voter}});
+                     {"is_voter", member.is_voter},
+                     {"instance", member.instance}});
   }
   return array;
 }
@@ -119,13 +116,7 @@
 }
 
 json::value ToJson(const HardState& state) {
-  json::array pins;
-  for (const auto& pin : state.pins) {
-    pins.push_back({{"id", pin.id}, {"instance", pin.instance}});
-  }
-  return {{"term", state.term},
-          {"voted_for", state.voted_for},
-          {"pins", std::move(pins)}};
+  return {{"term", state.term}, {"voted_for", state.voted_for}};
 }
 
 json::value ToJson(const Snapshot& snapshot) {
--- a/lib/Consensus/replica.cc
+++ b/lib/Consensus/replica.cc
@@ -47,6 +47,13 @@
   return CountVoters(replica) / 2 + 1;
 }
 
+// Votes that win an election. The first one of a deployment takes every
+// member's: its winner writes down all instances, so that any replica with an
+// entry in its log knows them.
+size_t VotesToWin(const Replica& replica) {
+  return LastIndex(replica) == 0 ? CountVoters(replica) : Majority(replica);
+}
+
 void ResetElectionDeadline(Replica& replica, Instant now) {
   std::uniform_int_distribution<Duration::rep> spread(
       kElectionTimeoutMin.count(), kElectionTimeoutMax.count());
@@ -192,13 +199,31 @@
   }
 }
 
+void AppendMembers(Replica& replica, Output& output) {
+  AppendEntry(replica, EntryKind::kMembers,
+              boost::json::serialize(ToJson(replica.members)), output);
+  replica.members_index = LastIndex(replica);
+}
+
+// Opens the leader's term. The first entry of all names the instances.
+void OpenTerm(Replica& replica, Output& output) {
+  if (LastIndex(replica) > 0) {
+    AppendEntry(replica, EntryKind::kNoOp, "", output);
+    return;
+  }
+  for (auto& member : replica.members) {
+    member.instance = replica.votes.at(member.id);
+  }
+  AppendMembers(replica, output);
+}
+
 void BecomeLeader(Replica& replica, Instant now, Output& output) {
   replica.role = Role::kLeader;
   replica.leader = replica.id;
   replica.current_as_of = now;
   replica.progress.clear();
   TrackMembers(replica, now);
-  AppendEntry(replica, EntryKind::kNoOp, "", output);
+  OpenTerm(replica, output);
   AdvanceCommit(replica, output);
   BroadcastAppend(replica, now, output);
 }
@@ -207,7 +232,7 @@
                  MessageKind kind,
                  Term term,
                  Output& output) {
-  replica.votes = {replica.id};
+  replica.votes = {{replica.id, replica.instance}};
   for (const auto& member : replica.members) {
     if (!member.is_voter || member.id == replica.id) {
       continue;
@@ -228,7 +253,7 @@
   SaveHardState(replica, output);
   ResetElectionDeadline(replica, now);
   AskForVotes(replica, MessageKind::kVote, replica.hard.term, output);
-  if (replica.votes.size() >= Majority(replica)) {
+  if (replica.votes.size() >= VotesToWin(replica)) {
     BecomeLeader(replica, now, output);
   }
 }
@@ -240,7 +265,7 @@
   replica.leader = 0;
   ResetElectionDeadline(replica, now);
   AskForVotes(replica, MessageKind::kPreVote, replica.hard.term + 1, output);
-  if (replica.votes.size() >= Majority(replica)) {
+  if (replica.votes.size() >= VotesToWin(replica)) {
     StartElection(replica, now, output);
   }
 }
@@ -294,8 +319,8 @@
       !IsVoter(replica, message.from)) {
     return;
   }
-  replica.votes.insert(message.from);
-  if (replica.votes.size() < Majority(replica)) {
+  replica.votes[message.from] = message.instance;
+  if (replica.votes.size() < VotesToWin(replica)) {
     return;
   }
   if (is_pre_vote) {
@@ -410,9 +435,8 @@
       continue;
     }
     member.is_voter = true;
-    AppendEntry(replica, EntryKind::kMembers,
-                boost::json::serialize(ToJson(replica.members)), output);
-    replica.members_index = LastIndex(replica);
+    member.instance = it->second.instance;
+    AppendMembers(replica, output);
     BroadcastAppend(replica, now, output);
     return;
   }
@@ -428,6 +452,7 @@
   }
   auto& progress = it->second;
   progress.heard_at = now;
+  progress.instance = message.instance;
   replica.current_as_of = QuorumHeardAt(replica, now);
   if (!message.granted) {
     progress.next = std::max(progress.match + 1,
@@ -475,16 +500,16 @@
   output.messages.push_back(std::move(reply));
 }
 
-// Whether the sender is the replica that first used its id.
-bool CheckInstance(Replica& replica, const Message& message, Output& output) {
-  for (const auto& pin : replica.hard.pins) {
-    if (pin.id == message.from) {
-      replica.rejected_instances += pin.instance != message.instance;
-      return pin.instance == message.instance;
+// Whether the sender still has the data folder that the members' list names.
+bool CheckInstance(Replica& replica, const Message& message) {
+  for (const auto& member : replica.members) {
+    bool is_other = member.id == message.from && member.instance != 0 &&
+                    member.instance != message.instance;
+    if (is_other) {
+      ++replica.rejected_instances;
+      return false;
     }
   }
-  replica.hard.pins.push_back({message.from, message.instance});
-  SaveHardState(replica, output);
   return true;
 }
 
@@ -553,7 +578,7 @@
 
 Output OnMessage(Replica& replica, const Message& message, Instant now) {
   Output output;
-  if (message.to != replica.id || !CheckInstance(replica, message, output)) {
+  if (message.to != replica.id || !CheckInstance(replica, message)) {
     return output;
   }
   if (message.term > replica.hard.term && !IsPreVote(message)) {
@@ -624,9 +649,7 @@
     return result;
   }
   replica.members = std::move(members);
-  AppendEntry(replica, EntryKind::kMembers,
-              boost::json::serialize(ToJson(replica.members)), result.output);
-  replica.members_index = LastIndex(replica);
+  AppendMembers(replica, result.output);
   TrackMembers(replica, now);
   result.status = ProposeStatus::kAccepted;
   result.index = LastIndex(replica);
--- a/lib/Operator/commands.cc
+++ b/lib/Operator/commands.cc
@@ -392,7 +392,8 @@
   return ChangeMembers(options, [&](json::array& members) {
     members.push_back({{"id", replica_id},
                        {"admin", PackEndpoint(admin)},
-                       {"is_voter", false}});
+                       {"is_voter", false},
+                       {"instance", 0}});
   });
 }
 
--- a/tools/acaciahold/main.cc
+++ b/tools/acaciahold/main.cc
@@ -198,7 +198,7 @@
   std::vector<consensus::Member> members;
   if (!words.is_join) {
     for (const auto& peer : settings->control_hosts) {
-      members.push_back({peer.replica_id, peer.admin, true});
+      members.push_back({peer.replica_id, peer.admin, true, 0});
     }
   }
   return Guarded([&]() -> Result<int> {
--- /dev/null
+++ b/unittests/Consensus/replica_test.cc
@@ -0,0 +1,160 @@
+// Histories of replicas under faults, and the checker's own tests.
+
+#include <boost/test/unit_test.hpp>
+
+#include "../check_property.h"
+#include "cluster.h"
+
+using namespace acaciahold;
+using namespace acaciahold::consensus;
+
+namespace {
+
+// Runs the histories; every one must pass the checker and settle at the end.
+void CheckRuns(uint64_t seed, int histories, const ClusterOptions& options) {
+  uint64_t accepted = 0;
+  CheckProperty(seed, histories, [&](uint64_t case_seed) {
+    Cluster cluster(case_seed, options);
+    cluster.Run(250);
+    auto fault = CheckHistory(cluster.history());
+    RC_ASSERT(fault == "");
+    RC_ASSERT(cluster.IsSettled());
+    accepted += cluster.accepted();
+  });
+  BOOST_TEST(accepted > static_cast<uint64_t>(histories));
+  BOOST_TEST_MESSAGE(histories << " histories, " << accepted
+                               << " accepted edits");
+}
+
+EventLog GoodHistory() {
+  return {{EventKind::kBecameLeader, 1, 1, 1, ""},
+          {EventKind::kApplied, 1, 1, 2, "a"},
+          {EventKind::kAccepted, 1, 1, 2, "a"},
+          {EventKind::kApplied, 2, 1, 2, "a"},
+          {EventKind::kApplied, 2, 1, 3, "b"}};
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(CheckerTakesAGoodHistory) {
+  BOOST_TEST(CheckHistory(GoodHistory()) == "");
+}
+
+BOOST_AUTO_TEST_CASE(CheckerFindsEachPlantedFault) {
+  auto lost = GoodHistory();
+  lost.push_back({EventKind::kAccepted, 1, 1, 4, "c"});
+  BOOST_TEST(CheckHistory(lost) != "");
+  auto replaced = GoodHistory();
+  replaced.push_back({EventKind::kApplied, 1, 1, 3, "c"});
+  BOOST_TEST(CheckHistory(replaced) != "");
+  auto back = GoodHistory();
+  back.push_back({EventKind::kApplied, 2, 1, 2, "a"});
+  BOOST_TEST(CheckHistory(back) != "");
+  auto twice = GoodHistory();
+  twice.push_back({EventKind::kApplied, 2, 1, 4, "a"});
+  BOOST_TEST(CheckHistory(twice) != "");
+  auto leaders = GoodHistory();
+  leaders.push_back({EventKind::kBecameLeader, 2, 1, 1, ""});
+  BOOST_TEST(CheckHistory(leaders) != "");
+  auto reset = GoodHistory();
+  reset.push_back({EventKind::kReset, 2, 1, 1, ""});
+  BOOST_TEST(CheckHistory(reset) != "");
+}
+
+BOOST_AUTO_TEST_CASE(ThreeReplicasUnderMessageFaults) {
+  CheckRuns(21, 2'500, {.replicas = 3});
+}
+
+BOOST_AUTO_TEST_CASE(FiveReplicasUnderCrashes) {
+  CheckRuns(22, 2'500, {.replicas = 5, .crashes = true});
+}
+
+BOOST_AUTO_TEST_CASE(ThreeReplicasUnderCrashesAndALostDisk) {
+  CheckRuns(23, 2'500, {.replicas = 3, .crashes = true, .lost_disks = true});
+}
+
+BOOST_AUTO_TEST_CASE(ReplicasUnderMemberChanges) {
+  CheckRuns(24, 2'500,
+            {.replicas = 3, .crashes = true, .member_changes = true});
+}
+
+BOOST_AUTO_TEST_CASE(AReplicaWithAnotherFolderIsNotListenedTo) {
+  StartState start;
+  start.id = 1;
+  start.snapshot.members = {{1, {1, 1}, true, 4}, {2, {2, 1}, true, 5}};
+  Instant now = FromUnixMillis(1'000);
+  auto replica = StartReplica(start, now);
+  Message vote;
+  vote.kind = MessageKind::kVote;
+  vote.from = 2;
+  vote.to = 1;
+  vote.instance = 6;
+  vote.term = 1;
+  auto output = OnMessage(replica, vote, now);
+  BOOST_TEST(output.messages.empty());
+  BOOST_TEST(replica.hard.term == 0U);
+  BOOST_TEST(replica.rejected_instances == 1U);
+  vote.instance = 5;
+  output = OnMessage(replica, vote, now);
+  BOOST_REQUIRE(output.messages.size() == 1U);
+  BOOST_TEST(output.messages[0].granted);
+}
+
+BOOST_AUTO_TEST_CASE(TheFirstElectionTakesEveryMember) {
+  StartState start;
+  start.id = 1;
+  start.instance = 7;
+  start.snapshot.members = {
+      {1, {1, 1}, true, 0}, {2, {2, 1}, true, 0}, {3, {3, 1}, true, 0}};
+  Instant now = FromUnixMillis(1'000);
+  auto replica = StartReplica(start, now);
+  now = replica.election_deadline;
+  OnTick(replica, now);
+  Message grant;
+  grant.kind = MessageKind::kPreVoteReply;
+  grant.to = 1;
+  grant.term = 1;
+  grant.granted = true;
+  grant.from = 2;
+  grant.instance = 8;
+  OnMessage(replica, grant, now);
+  BOOST_CHECK(replica.role == Role::kPreCandidate);
+  grant.from = 3;
+  grant.instance = 9;
+  OnMessage(replica, grant, now);
+  BOOST_CHECK(replica.role == Role::kCandidate);
+  grant.kind = MessageKind::kVoteReply;
+  OnMessage(replica, grant, now);
+  grant.from = 2;
+  grant.instance = 8;
+  OnMessage(replica, grant, now);
+  BOOST_REQUIRE(replica.role == Role::kLeader);
+  BOOST_TEST(replica.members[1].instance == 8U);
+  BOOST_TEST(replica.members[2].instance == 9U);
+}
+
+BOOST_AUTO_TEST_CASE(ALeaderWithoutAMajorityStepsDown) {
+  std::vector<Member> members{{1, {1, 1}, true, 0}, {2, {2, 1}, true, 0}};
+  StartState start;
+  start.id = 1;
+  start.snapshot.members = members;
+  Instant now = FromUnixMillis(1'000);
+  auto replica = StartReplica(start, now);
+  now = replica.election_deadline;
+  OnTick(replica, now);
+  Message grant;
+  grant.kind = MessageKind::kPreVoteReply;
+  grant.from = 2;
+  grant.to = 1;
+  grant.term = 1;
+  grant.granted = true;
+  OnMessage(replica, grant, now);
+  grant.kind = MessageKind::kVoteReply;
+  OnMessage(replica, grant, now);
+  BOOST_REQUIRE(replica.role == Role::kLeader);
+  now += kElectionTimeoutMax;
+  OnTick(replica, now);
+  BOOST_CHECK(replica.role == Role::kFollower);
+  BOOST_CHECK(Propose(replica, "edit", now).status ==
+              ProposeStatus::kNotLeader);
+}
--- /dev/null
+++ b/unittests/Request/request_test.cc
@@ -0,0 +1,187 @@
+// Tests of the request's state machine, the dispatcher and the key table.
+
+#include <boost/test/unit_test.hpp>
+
+#include "../check_property.h"
+#include "acaciahold/Request/dispatcher.h"
+#include "acaciahold/Request/key_table.h"
+#include "acaciahold/Request/request.h"
+
+using namespace acaciahold;
+using namespace acaciahold::request;
+
+namespace {
+
+const Instant kNow = FromUnixMillis(1'000'000);
+const Instant kLate = kNow + std::chrono::seconds(10);
+
+std::vector<SlotCandidate> Three() {
+  return {{1, 2}, {2, 2}, {3, 2}};
+}
+
+void Coordinate(Dispatcher& dispatcher) {
+  for (upstream::UpstreamId id = 1; id <= 3; ++id) {
+    BeginCoordination(dispatcher, {"orders", id}, true, kNow);
+  }
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(ARequestThatMayHaveRunIsNeverCalledRefused) {
+  CheckProperty(71, 20'000, [](bool is_idempotent,
+                               std::vector<uint8_t> events) {
+    auto request = MakeRequest(is_idempotent, kLate);
+    RetryBudget budget;
+    bool may_have_run = false;
+    int sent_after_that = 0;
+    uint32_t attempt = 0;
+    for (uint8_t event : events) {
+      if (IsFinal(request)) {
+        break;
+      }
+      if (request.state == State::kWaiting) {
+        sent_after_that += may_have_run;
+        attempt = Dispatch(request, budget, event);
+        continue;
+      }
+      switch (event % 6) {
+        case 0:
+          OnAttemptEnd(request, budget, attempt, AttemptEnd::kAnswer, kNow);
+          break;
+        case 1:
+          OnAttemptEnd(request, budget, attempt, AttemptEnd::kShed, kNow);
+          break;
+        case 2:
+          OnAttemptEnd(request, budget, attempt, AttemptEnd::kNotSent, kNow);
+          break;
+        case 3:
+          may_have_run = true;
+          OnAttemptEnd(request, budget, attempt, AttemptEnd::kNoAnswer, kNow);
+          break;
+        case 4:
+          OnAttemptEnd(request, budget, attempt - 1, AttemptEnd::kAnswer,
+                       kNow);
+          break;
+        default:
+          may_have_run = true;
+          OnDeadline(request);
+      }
+    }
+    GiveUp(request, Refusal::kOverloaded);
+    RC_ASSERT(IsFinal(request));
+    RC_ASSERT(!(may_have_run && request.state == State::kRefused));
+    RC_ASSERT(is_idempotent || sent_after_that == 0);
+    RC_ASSERT(request.attempt <= kMaxAttempts);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(ALateAnswerOfAnAbandonedAttemptCountsForNothing) {
+  auto request = MakeRequest(true, kLate);
+  RetryBudget budget;
+  auto first = Dispatch(request, budget, 1);
+  OnAttemptEnd(request, budget, first, AttemptEnd::kNoAnswer, kNow);
+  auto second = Dispatch(request, budget, 2);
+  OnAttemptEnd(request, budget, first, AttemptEnd::kAnswer, kNow);
+  BOOST_CHECK(request.state == State::kDispatched);
+  OnAttemptEnd(request, budget, second, AttemptEnd::kAnswer, kNow);
+  BOOST_CHECK(request.state == State::kAnswered);
+}
+
+BOOST_AUTO_TEST_CASE(RetriesEndWithTheBudgetAndTheDeadline) {
+  RetryBudget budget{0};
+  auto request = MakeRequest(true, kLate);
+  OnAttemptEnd(request, budget, Dispatch(request, budget, 1),
+               AttemptEnd::kShed, kNow);
+  BOOST_CHECK(request.refusal == Refusal::kRetryBudget);
+  budget.tokens = 5;
+  auto late = MakeRequest(true, kNow);
+  OnAttemptEnd(late, budget, Dispatch(late, budget, 1), AttemptEnd::kShed,
+               kLate);
+  BOOST_CHECK(late.refusal == Refusal::kDeadline);
+}
+
+BOOST_AUTO_TEST_CASE(NeverOverrunsSlots) {
+  CheckProperty(72, 3'000, [](std::vector<uint8_t> events) {
+    Dispatcher dispatcher;
+    Coordinate(dispatcher);
+    std::map<upstream::UpstreamId, uint32_t> busy;
+    std::vector<WaiterId> waiting;
+    auto take = [&](upstream::UpstreamId id) { RC_ASSERT(++busy[id] <= 2U); };
+    for (uint8_t event : events) {
+      upstream::UpstreamId id = 1 + event % 3;
+      if (event % 2 == 0) {
+        auto admission = Admit(dispatcher, "orders", Three(), kNow);
+        if (const auto* granted = std::get_if<Granted>(&admission)) {
+          take(granted->upstream);
+        } else if (const auto* queued = std::get_if<Queued>(&admission)) {
+          waiting.push_back(queued->waiter);
+        }
+        RC_ASSERT(waiting.size() <= 6U * kWaitersPerSlot);
+        continue;
+      }
+      if (busy[id] == 0) {
+        continue;
+      }
+      --busy[id];
+      ReleaseSlot(dispatcher, "orders", id);
+      for (auto grant : GrantWaiters(dispatcher, "orders", Three(), kNow)) {
+        RC_ASSERT(grant.waiter == waiting.front());
+        waiting.erase(waiting.begin());
+        take(grant.upstream);
+      }
+    }
+  });
+}
+
+BOOST_AUTO_TEST_CASE(ANewCoordinatorWaitsForEarlierRequestsToEnd) {
+  Dispatcher dispatcher;
+  BeginCoordination(dispatcher, {"orders", 1}, false, kNow);
+  std::vector<SlotCandidate> one{{1, 2}};
+  BOOST_CHECK(std::holds_alternative<QueueFull>(
+      Admit(dispatcher, "orders", one, kNow)));
+  BOOST_CHECK(std::holds_alternative<Granted>(
+      Admit(dispatcher, "orders", one, kNow + kMaxRequestTime)));
+}
+
+BOOST_AUTO_TEST_CASE(AKeyRunsOnceAndItsAnswerIsKept) {
+  KeyTable table;
+  BOOST_CHECK(BeginKey(table, "k", 1, kNow).verdict == KeyVerdict::kNew);
+  BOOST_CHECK(BeginKey(table, "k", 1, kNow).verdict == KeyVerdict::kRunning);
+  BOOST_CHECK(BeginKey(table, "k", 2, kNow).verdict == KeyVerdict::kOtherBody);
+  FinishKey(table, "k", {200, "text/plain", "done"});
+  auto again = BeginKey(table, "k", 1, kNow);
+  BOOST_CHECK(again.verdict == KeyVerdict::kAnswered);
+  BOOST_TEST(again.answer.body == "done");
+}
+
+BOOST_AUTO_TEST_CASE(AKeyBegunElsewhereIsUnknownHere) {
+  KeyTable table;
+  StoreKey(table, "k", 1, kNow);
+  BOOST_CHECK(BeginKey(table, "k", 1, kNow).verdict == KeyVerdict::kUnknown);
+  ForgetKey(table, "k");
+  BOOST_CHECK(BeginKey(table, "k", 1, kNow).verdict == KeyVerdict::kNew);
+}
+
+BOOST_AUTO_TEST_CASE(KeysAreKeptForTheirLifetimeAndNoLonger) {
+  KeyTable table;
+  BeginKey(table, "k", 1, kNow);
+  LoseKey(table, "k");
+  Instant end = kNow + kKeyLifetime;
+  auto almost = end - std::chrono::milliseconds(1);
+  BOOST_CHECK(BeginKey(table, "k", 1, almost).verdict == KeyVerdict::kUnknown);
+  BOOST_CHECK(BeginKey(table, "k", 1, end).verdict == KeyVerdict::kNew);
+}
+
+BOOST_AUTO_TEST_CASE(KeptAnswersStayWithinTheirBytes) {
+  KeyTable table;
+  std::string body(kMaxKeptAnswerBytes, 'x');
+  for (int i = 0; i < 3'000; ++i) {
+    std::string key = "k" + std::to_string(i);
+    BeginKey(table, key, 1, kNow);
+    FinishKey(table, key, {200, "", body});
+  }
+  BOOST_TEST(table.kept_bytes <= kMaxKeptBytes);
+  BOOST_CHECK(BeginKey(table, "k0", 1, kNow).verdict == KeyVerdict::kUnknown);
+  BOOST_CHECK(BeginKey(table, "k2999", 1, kNow).verdict ==
+              KeyVerdict::kAnswered);
+}
--- /dev/null
+++ b/unittests/Storage/data_folder_test.cc
@@ -0,0 +1,145 @@
+// Tests of the data folder: what survives, what is cut, what is refused.
+
+#include <filesystem>
+#include <fstream>
+
+#include <boost/test/unit_test.hpp>
+
+#include "acaciahold/Storage/data_folder.h"
+#include "acaciahold/Storage/record.h"
+
+using namespace acaciahold;
+using namespace acaciahold::storage;
+using consensus::EntryKind;
+using consensus::LogEntry;
+using consensus::Persist;
+
+namespace {
+
+// A fresh folder with a replica, removed at the end.
+struct Fixture {
+  Fixture()
+      : path((std::filesystem::temp_directory_path() /
+              ("folder-" + std::to_string(::getpid())))
+                 .string()) {
+    std::filesystem::remove_all(path);
+    std::filesystem::create_directories(path);
+    BOOST_REQUIRE(bool(DataFolder::Initialize(path, 2, 77, {{2, {1, 1}, true, 0}})));
+  }
+  ~Fixture() { std::filesystem::remove_all(path); }
+
+  void Append(consensus::Index first, int count) const {
+    StoredState state;
+    auto folder = DataFolder::Open(path, state);
+    BOOST_REQUIRE(bool(folder));
+    for (int i = 0; i < count; ++i) {
+      Persist persist;
+      persist.append = {{first + i, 1, EntryKind::kCommand, "edit"}};
+      BOOST_REQUIRE(bool(folder->Write(persist)));
+    }
+  }
+
+  StoredState Load() const {
+    StoredState state;
+    auto folder = DataFolder::Open(path, state);
+    BOOST_REQUIRE(bool(folder));
+    return state;
+  }
+
+  // The text of the error that opening gives.
+  std::string OpenError() const {
+    StoredState state;
+    return leaf::try_handle_all(
+        [&]() -> Result<std::string> {
+          BOOST_LEAF_CHECK(DataFolder::Open(path, state));
+          return std::string();
+        },
+        [](const CorruptionError& e) { return Describe(e); },
+        [](const SystemError& e) { return Describe(e); },
+        [] { return std::string("other"); });
+  }
+
+  std::string path;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_CASE(KeepsWhatWasWritten, Fixture) {
+  Append(1, 3);
+  {
+    StoredState state;
+    auto folder = DataFolder::Open(path, state);
+    Persist persist;
+    persist.hard_state = consensus::HardState{5, 3};
+    persist.truncate_from = 3;
+    persist.append = {{3, 5, EntryKind::kNoOp, ""}};
+    BOOST_REQUIRE(bool(folder->Write(persist)));
+  }
+  auto state = Load();
+  BOOST_TEST(state.replica_id == 2U);
+  BOOST_TEST(state.instance == 77U);
+  BOOST_TEST(state.hard.term == 5U);
+  BOOST_REQUIRE(state.entries.size() == 3U);
+  BOOST_TEST(state.entries[2].term == 5U);
+}
+
+BOOST_FIXTURE_TEST_CASE(DropsTheLogBehindASnapshot, Fixture) {
+  Append(1, 5);
+  {
+    StoredState state;
+    auto folder = DataFolder::Open(path, state);
+    Persist persist;
+    persist.snapshot = consensus::Snapshot{4, 1, {}, "table"};
+    BOOST_REQUIRE(bool(folder->Write(persist)));
+  }
+  auto state = Load();
+  BOOST_TEST(state.snapshot.index == 4U);
+  BOOST_REQUIRE(state.entries.size() == 1U);
+  BOOST_TEST(state.entries[0].index == 5U);
+}
+
+BOOST_FIXTURE_TEST_CASE(CutsATornTailAndReportsIt, Fixture) {
+  Append(1, 3);
+  auto size = std::filesystem::file_size(path + "/log");
+  std::filesystem::resize_file(path + "/log", size - 5);
+  auto state = Load();
+  BOOST_TEST(state.entries.size() == 2U);
+  BOOST_TEST(state.torn_bytes > 0U);
+  BOOST_TEST(Load().torn_bytes == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(RefusesADamagedMiddle, Fixture) {
+  Append(1, 3);
+  {
+    std::fstream log(path + "/log",
+                     std::ios::in | std::ios::out | std::ios::binary);
+    log.seekp(static_cast<std::streamoff>(kFileHeader.size()) + 30);
+    log.put('\xff');
+  }
+  auto text = OpenError();
+  BOOST_TEST(text.find(path + "/log") != std::string::npos);
+  BOOST_TEST(text.find("offset 8") != std::string::npos);
+  BOOST_TEST(text.find("join this host as a new replica") !=
+             std::string::npos);
+}
+
+BOOST_FIXTURE_TEST_CASE(RefusesAnUnknownFormat, Fixture) {
+  std::ofstream(path + "/hard-state") << "acaciah9rest";
+  BOOST_TEST(OpenError().find("format version") != std::string::npos);
+}
+
+BOOST_FIXTURE_TEST_CASE(LetsOneProcessIn, Fixture) {
+  StoredState state;
+  auto folder = DataFolder::Open(path, state);
+  BOOST_REQUIRE(bool(folder));
+  BOOST_TEST(OpenError().find("another process") != std::string::npos);
+}
+
+BOOST_FIXTURE_TEST_CASE(RefusesAFolderWithoutAReplica, Fixture) {
+  std::filesystem::remove(path + "/identity");
+  BOOST_TEST(OpenError().find("acaciahold init") != std::string::npos);
+}
+
+BOOST_FIXTURE_TEST_CASE(NeverInitializesTwice, Fixture) {
+  BOOST_TEST(!DataFolder::Initialize(path, 3, 1, {}));
+}
--- /dev/null
+++ b/unittests/Table/service_table_test.cc
@@ -0,0 +1,127 @@
+// Tests of the table's rules and of edits.
+
+#include <boost/json.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "acaciahold/Table/service_table.h"
+#include "acaciahold/Table/table_json.h"
+#include "acaciahold/Table/table_yaml.h"
+
+using namespace acaciahold;
+using namespace acaciahold::table;
+
+namespace {
+
+ServiceRow Row(const std::string& name, uint16_t port) {
+  ServiceRow row;
+  row.name = name;
+  row.address = {0x0a090001, port};
+  row.limits = {3, 2000, 50};
+  row.failure_domains = {{"fd1", 100}, {"fd2", 50}};
+  return row;
+}
+
+Edit Put(const std::string& id, uint64_t base, const ServiceRow& row) {
+  return {id, "ann", FromUnixMillis(1), {{row.name, base, row}}};
+}
+
+constexpr const char* kFile = R"(services:
+  - name: stock-feed
+    kind: flow
+    address: "10.9.0.1:7000"
+    limits: {slots: 3, connections: 2000, cold: 50}
+    failure_domains: [fd2, fd1]
+    weights: {fd2: 50}
+)";
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(AcceptsAnEditAndRaisesTheRevision) {
+  TableState state;
+  auto outcome = ApplyEdit(state, Put("e1", 0, Row("feed", 1)));
+  BOOST_CHECK(outcome.verdict == EditVerdict::kAccepted);
+  BOOST_TEST(outcome.revision == 1U);
+  BOOST_TEST(state.table.rows.at(0).revision == 1U);
+  BOOST_TEST(state.history.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AnswersAResentEditWithItsFirstAnswer) {
+  TableState state;
+  ApplyEdit(state, Put("e1", 0, Row("feed", 1)));
+  ApplyEdit(state, Put("e2", 1, Row("feed", 2)));
+  auto resent = Put("e1", 0, Row("feed", 1));
+  resent.made_at = FromUnixMillis(99);
+  auto outcome = ApplyEdit(state, resent);
+  BOOST_CHECK(outcome.verdict == EditVerdict::kAccepted);
+  BOOST_TEST(outcome.revision == 1U);
+  BOOST_TEST(state.table.revision == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(RefusesAnIdWithOtherContent) {
+  TableState state;
+  ApplyEdit(state, Put("e1", 0, Row("feed", 1)));
+  auto outcome = ApplyEdit(state, Put("e1", 1, Row("feed", 2)));
+  BOOST_CHECK(outcome.verdict == EditVerdict::kReusedId);
+  BOOST_TEST(state.table.revision == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ShowsTheCurrentRowOfAConflict) {
+  TableState state;
+  ApplyEdit(state, Put("e1", 0, Row("feed", 1)));
+  auto outcome = ApplyEdit(state, Put("e2", 0, Row("feed", 2)));
+  BOOST_CHECK(outcome.verdict == EditVerdict::kConflict);
+  BOOST_TEST(outcome.current.at(0).service.address.port == 1);
+  BOOST_TEST(outcome.current.at(0).revision == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ReportsAllFaultsOfAnInvalidEdit) {
+  TableState state;
+  ApplyEdit(state, Put("e1", 0, Row("feed", 1)));
+  auto bad = Row("Bad Name", 1);
+  bad.limits.cold = 3000;
+  auto outcome = ApplyEdit(state, Put("e2", 0, bad));
+  BOOST_CHECK(outcome.verdict == EditVerdict::kInvalid);
+  BOOST_TEST(outcome.faults.size() == 3U);
+  BOOST_TEST(state.table.rows.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(KeepsItsStateThroughJson) {
+  TableState state;
+  ApplyEdit(state, Put("e1", 0, Row("feed", 1)));
+  ApplyEdit(state, Put("e2", 0, Row("feed", 2)));
+  auto copy = StateFromJson(
+      boost::json::parse(boost::json::serialize(ToJson(state))));
+  BOOST_REQUIRE(bool(copy));
+  BOOST_CHECK(copy->table == state.table);
+  BOOST_TEST(copy->history.size() == state.history.size());
+  auto resent = ApplyEdit(*copy, Put("e2", 0, Row("feed", 2)));
+  BOOST_CHECK(resent.verdict == EditVerdict::kConflict);
+}
+
+BOOST_AUTO_TEST_CASE(ReadsAndWritesTheTableFile) {
+  auto file = ReadTableText(kFile, "table.yaml");
+  BOOST_REQUIRE(bool(file));
+  BOOST_REQUIRE(file->faults.empty());
+  const auto& row = file->rows.at(0);
+  BOOST_TEST(WeightOf(row, "fd1") == 100U);
+  BOOST_TEST(WeightOf(row, "fd2") == 50U);
+  BOOST_TEST(WeightOf(row, "fd3") == 0U);
+  VersionedRow versioned{row, 4};
+  auto again = ReadTableText(WriteTableText({&versioned, 1}), "again");
+  BOOST_REQUIRE(bool(again));
+  BOOST_CHECK(again->rows.at(0) == row);
+}
+
+BOOST_AUTO_TEST_CASE(NamesFileLineFieldAndValueOfEachFault) {
+  std::string text = kFile;
+  text.replace(text.find("flow"), 4, "flaw");
+  text.replace(text.find("slots: 3"), 8, "slots: x");
+  auto file = ReadTableText(text, "table.yaml");
+  BOOST_REQUIRE(bool(file));
+  BOOST_REQUIRE(file->faults.size() == 2U);
+  BOOST_TEST(Describe(file->faults[0]) ==
+             "table.yaml:3: field 'services[0].kind' has value 'flaw', wanted "
+             "flow or request");
+  BOOST_TEST(file->faults[1].line == 5);
+  BOOST_TEST(file->faults[1].field == "services[0].limits.slots");
+}
--- /dev/null
+++ b/unittests/Upstream/registry_test.cc
@@ -0,0 +1,126 @@
+// Tests of what is believed of upstreams.
+
+#include <boost/test/unit_test.hpp>
+
+#include "../check_property.h"
+#include "acaciahold/Upstream/registry.h"
+
+using namespace acaciahold;
+using namespace acaciahold::upstream;
+
+namespace {
+
+const Instant kStart = FromUnixMillis(1'000'000);
+
+Announcement Said(uint64_t incarnation, Phase phase = Phase::kServing) {
+  return {"orders", {0x0a000001, 80}, "fd1", 0, 0, incarnation, phase};
+}
+
+const Key kKey{"orders", PackEndpoint({0x0a000001, 80})};
+
+bool Mine(const Key&) {
+  return true;
+}
+
+uint32_t StepOf(const Registry& registry) {
+  return registry.entries.at(kKey).record.ramp_step;
+}
+
+// Warms the upstream up to the last step.
+Instant WarmUp(Registry& registry, Instant now) {
+  while (StepOf(registry) < kLastRampStep) {
+    now += kRampStepTime;
+    OnOutcomes(registry, kKey, {100, 0, 0}, 8, now);
+  }
+  return now;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(StartsColdAndWarmsByLoadThatItBore) {
+  Registry registry;
+  BOOST_TEST(OnAnnouncement(registry, Said(1), kStart));
+  BOOST_TEST(StepOf(registry) == 0U);
+  BOOST_TEST(!OnOutcomes(registry, kKey, {100, 0, 0}, 8, kStart));
+  BOOST_TEST(OnOutcomes(registry, kKey, {1, 0, 0}, 8, kStart + kRampStepTime));
+  BOOST_TEST(StepOf(registry) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(IsColdAgainWithANewIncarnation) {
+  Registry registry;
+  OnAnnouncement(registry, Said(1), kStart);
+  auto now = WarmUp(registry, kStart);
+  BOOST_TEST(OnAnnouncement(registry, Said(2), now));
+  BOOST_TEST(StepOf(registry) == 0U);
+  BOOST_TEST(!OnAnnouncement(registry, Said(1), now));
+  BOOST_TEST(registry.entries.at(kKey).record.said.incarnation == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(IsColdAgainOnSignsOfAnUnannouncedRestart) {
+  Registry registry;
+  OnAnnouncement(registry, Said(1), kStart);
+  auto now = WarmUp(registry, kStart);
+  BOOST_TEST(!OnOutcomes(registry, kKey, {0, 1, 0}, 8, now));
+  BOOST_TEST(!OnOutcomes(registry, kKey, {0, 1, 0}, 8, now));
+  BOOST_TEST(OnOutcomes(registry, kKey, {0, 1, 0}, 8, now));
+  BOOST_TEST(StepOf(registry) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(StaysWarmThroughSingleFailures) {
+  Registry registry;
+  OnAnnouncement(registry, Said(1), kStart);
+  auto now = WarmUp(registry, kStart);
+  for (int i = 0; i < 20; ++i) {
+    OnOutcomes(registry, kKey, {0, 1, 0}, 8, now);
+    OnOutcomes(registry, kKey, {10, 0, 0}, 8, now);
+  }
+  BOOST_TEST(StepOf(registry) == kLastRampStep);
+}
+
+BOOST_AUTO_TEST_CASE(ASilentUpstreamIsFoundOutByItsCoordinatorAlone) {
+  Registry registry;
+  OnAnnouncement(registry, Said(1), kStart);
+  Instant late = kStart + kSilenceTimeout;
+  BOOST_TEST(!CheckSilence(registry, [](const Key&) { return false; }, late));
+  BOOST_TEST(CheckSilence(registry, Mine, late));
+  BOOST_CHECK(registry.entries.at(kKey).record.said.phase == Phase::kSilent);
+  BOOST_TEST(OnAnnouncement(registry, Said(1), late));
+  BOOST_CHECK(registry.entries.at(kKey).record.said.phase == Phase::kServing);
+}
+
+BOOST_AUTO_TEST_CASE(WhatIsGoneStaysGoneInItsLife) {
+  Registry registry;
+  OnAnnouncement(registry, Said(1), kStart);
+  OnAnnouncement(registry, Said(1, Phase::kGone), kStart);
+  BOOST_TEST(!OnAnnouncement(registry, Said(1), kStart));
+  BOOST_TEST(OnAnnouncement(registry, Said(2), kStart));
+}
+
+BOOST_AUTO_TEST_CASE(HostsAgreeWhateverTheOrderOfNews) {
+  CheckProperty(12, 2'000, [](std::vector<std::tuple<uint8_t, uint8_t, uint8_t>>
+                                  steps) {
+    std::vector<Record> records;
+    for (auto [incarnation, sequence, phase] : steps) {
+      records.push_back({Said(1 + incarnation % 4,
+                              static_cast<Phase>(phase % 4)),
+                         sequence % 4U, 0});
+    }
+    Registry a;
+    Registry b;
+    for (const auto& record : records) {
+      Merge(a, record, kStart);
+    }
+    for (auto it = records.rbegin(); it != records.rend(); ++it) {
+      Merge(b, *it, kStart);
+    }
+    RC_ASSERT(a.digest == b.digest);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(LimitsRiseFromTheColdLimit) {
+  BOOST_TEST(LimitAtStep(2000, 50, 0) == 50U);
+  BOOST_TEST(LimitAtStep(2000, 50, 1) == 250U);
+  BOOST_TEST(LimitAtStep(2000, 50, kLastRampStep) == 2000U);
+  BOOST_TEST(LimitAtStep(3, 1, 1) == 1U);
+  BOOST_TEST(LimitAtStep(3, 5, 0) == 3U);
+}
