--- a/include/acaciahold/Entry/entry.h
+++ b/include/acaciahold/Entry/entry.h
@@ -48,8 +48,8 @@
   std::atomic<uint64_t> forwarded{0};
   std::atomic<uint64_t> passed{0};
   std::atomic<uint64_t> parked{0};
-  std::array<std::atomic<uint64_t>, 16> refused{};  // By steering::Reason.
-  std::array<std::atomic<uint64_t>, 16> dropped{};  // By steering::Reason.
+  std::array<std::atomic<uint64_t>, 16> refused{};    // By steering::Reason.
+  std::array<std::atomic<uint64_t>, 16> dropped{};    // By steering::Reason.
   std::array<std::atomic<uint64_t>, 16> malformed{};  // By PacketFault.
   std::atomic<uint64_t> unknown_service{0};
   std::atomic<uint64_t> malformed_peer{0};
--- a/include/acaciahold/Host/request_shell.h
+++ b/include/acaciahold/Host/request_shell.h
@@ -174,8 +174,8 @@
   request::LoadTable loads_;
   request::RetryBudget budget_;
   std::mt19937_64 random_;
-  std::map<request::WaiterId, std::pair<std::shared_ptr<Signal>,
-                                        upstream::UpstreamId>>
+  std::map<request::WaiterId,
+           std::pair<std::shared_ptr<Signal>, upstream::UpstreamId>>
       waiters_;
   std::map<upstream::Key, Instant> paused_until_;
 
--- a/include/acaciahold/Http/message.h
+++ b/include/acaciahold/Http/message.h
@@ -24,7 +24,8 @@
 // How a request between hosts ended: answer, not-run or unknown.
 inline constexpr std::string_view kOutcomeHeader = "Acaciahold-Outcome";
 
-Response MakeResponse(Status status, std::string body,
+Response MakeResponse(Status status,
+                      std::string body,
                       std::string_view content_type = "application/json");
 
 // A problem body as of RFC 9457. `type` is the last part of the problem's URN.
--- a/include/acaciahold/Membership/membership.h
+++ b/include/acaciahold/Membership/membership.h
@@ -68,7 +68,7 @@
   HostId from = 0;
   uint64_t from_incarnation = 0;
   uint64_t sequence = 0;
-  HostId subject = 0;      // kPingRequest: whom to ping; kAck: who is alive.
+  HostId subject = 0;  // kPingRequest: whom to ping; kAck: who is alive.
   uint64_t view_digest = 0;
   std::vector<MemberUpdate> updates;
 };
--- a/include/acaciahold/Operator/commands.h
+++ b/include/acaciahold/Operator/commands.h
@@ -13,7 +13,7 @@
 
 // Exit codes of every command.
 inline constexpr int kDone = 0;
-inline constexpr int kFailed = 1;   // Refused or failed.
+inline constexpr int kFailed = 1;    // Refused or failed.
 inline constexpr int kBadUsage = 2;  // Bad usage or settings.
 
 // An accepted edit is in force everywhere within this time.
--- a/include/acaciahold/Request/key_table.h
+++ b/include/acaciahold/Request/key_table.h
@@ -50,12 +50,12 @@
 };
 
 enum class KeyVerdict {
-  kNew,         // Recorded now; to be run.
-  kRunning,     // An earlier one is under way here.
-  kAnswered,    // The first answer is at hand.
-  kUnknown,     // Begun, and nobody can tell how it ended.
-  kOtherBody,   // The key was used for another request.
-  kTableFull,   // No more keys can be remembered safely.
+  kNew,        // Recorded now; to be run.
+  kRunning,    // An earlier one is under way here.
+  kAnswered,   // The first answer is at hand.
+  kUnknown,    // Begun, and nobody can tell how it ended.
+  kOtherBody,  // The key was used for another request.
+  kTableFull,  // No more keys can be remembered safely.
 };
 
 struct KeyLookup {
--- a/include/acaciahold/Request/routes.h
+++ b/include/acaciahold/Request/routes.h
@@ -21,8 +21,8 @@
 struct LocalTarget {
   upstream::Key key;
   Endpoint endpoint;
-  uint32_t limit = 0;    // Of slots at the upstream's ramp step.
-  bool is_new = false;   // Announced in this host's lifetime.
+  uint32_t limit = 0;   // Of slots at the upstream's ramp step.
+  bool is_new = false;  // Announced in this host's lifetime.
 };
 
 // Another host, and how many slots it coordinates.
--- a/include/acaciahold/Steering/flow_shard.h
+++ b/include/acaciahold/Steering/flow_shard.h
@@ -126,7 +126,7 @@
 struct Decision {
   Verdict verdict = Verdict::kDrop;
   Reason reason = Reason::kNone;
-  Endpoint to;             // kForward, kPark: upstream; kPass: peer.
+  Endpoint to;  // kForward, kPark: upstream; kPass: peer.
   bool pass_acting = false;
   // kPark: forwarded once the bucket's backup has stored this.
   BucketNotice notice;
@@ -166,9 +166,7 @@
 void OnNoticeLost(FlowShard& shard, const BucketNotice& notice);
 
 // Stores what the bucket's owner, or a peer that was asked, says of it.
-void MergeNotice(FlowShard& shard,
-                 const BucketNotice& notice,
-                 Instant now);
+void MergeNotice(FlowShard& shard, const BucketNotice& notice, Instant now);
 
 // Ends flows past their idle deadline, in a part of the shard at each call.
 // Returns ended exceptions, for the backup to drop.
--- a/include/acaciahold/Steering/plan.h
+++ b/include/acaciahold/Steering/plan.h
@@ -57,9 +57,9 @@
   std::string name;
   uint64_t id = 0;  // Hash of the name.
   Duration idle_timeout{};
-  std::vector<Target> targets;     // Sorted by id.
-  std::vector<uint16_t> desired;   // By bucket; an index into targets.
-  std::vector<Route> routes;       // By bucket.
+  std::vector<Target> targets;    // Sorted by id.
+  std::vector<uint16_t> desired;  // By bucket; an index into targets.
+  std::vector<Route> routes;      // By bucket.
 };
 
 // Invariant: `hosts[self]` is this host.
@@ -73,8 +73,7 @@
 };
 
 // Share cells outlive plans; one for each upstream of each service.
-using CellMap =
-    std::map<upstream::Key, std::shared_ptr<admission::ShareCell>>;
+using CellMap = std::map<upstream::Key, std::shared_ptr<admission::ShareCell>>;
 
 struct PlanInputs {
   const table::ServiceTable* table = nullptr;
--- a/include/acaciahold/Support/time.h
+++ b/include/acaciahold/Support/time.h
@@ -17,7 +17,6 @@
   using period = Duration::period;
   using duration = Duration;
   using time_point = std::chrono::time_point<UnixClock, Duration>;
-  static constexpr bool is_steady = true;
 };
 
 using Instant = UnixClock::time_point;
--- a/lib/Admission/ledger.cc
+++ b/lib/Admission/ledger.cc
@@ -9,7 +9,8 @@
 
 // A host that restarted reports with a new incarnation; what its earlier life
 // held is frozen. Nothing is returned for a late word of an earlier life.
-LedgerEntry* EntryOf(Ledger& ledger, const ShareReport& report,
+LedgerEntry* EntryOf(Ledger& ledger,
+                     const ShareReport& report,
                      Instant idle_release) {
   auto& entry = ledger.entries[report.host];
   if (report.incarnation < entry.incarnation) {
@@ -37,10 +38,14 @@
   return sum;
 }
 
-ShareGrant OnReport(Ledger& ledger, const ShareReport& report, uint32_t limit,
-                    Instant idle_release, Instant now) {
-  ShareGrant grant{report.service, report.upstream, report.host,
-                   report.sequence, report.held, false, false};
+ShareGrant OnReport(Ledger& ledger,
+                    const ShareReport& report,
+                    uint32_t limit,
+                    Instant idle_release,
+                    Instant now) {
+  ShareGrant grant{
+      report.service, report.upstream, report.host, report.sequence,
+      report.held,    false,           false};
   auto* entry = EntryOf(ledger, report, idle_release);
   if (!entry || report.sequence <= entry->sequence) {
     grant.sequence = 0;  // Answers no report of this life.
@@ -65,10 +70,13 @@
   return grant;
 }
 
-ShareGrant OnRecord(Ledger& ledger, const ShareReport& report,
-                    Instant idle_release, Instant now) {
-  ShareGrant grant{report.service, report.upstream, report.host,
-                   report.sequence, report.held, false, true};
+ShareGrant OnRecord(Ledger& ledger,
+                    const ShareReport& report,
+                    Instant idle_release,
+                    Instant now) {
+  ShareGrant grant{
+      report.service, report.upstream, report.host, report.sequence,
+      report.held,    false,           true};
   auto* entry = EntryOf(ledger, report, idle_release);
   if (!entry || report.sequence < entry->sequence) {
     grant.sequence = 0;
--- a/lib/Admission/share.cc
+++ b/lib/Admission/share.cc
@@ -86,7 +86,9 @@
   return now >= (is_urgent ? share.earliest_report : share.report_deadline);
 }
 
-ShareReport MakeReport(Share& share, ShareCell& cell, uint32_t headroom,
+ShareReport MakeReport(Share& share,
+                       ShareCell& cell,
+                       uint32_t headroom,
                        Instant now) {
   uint32_t open = OpenFlows(cell);
   bool gives_up = IsLeaseOver(cell, now) || share.held > open + 2 * headroom;
--- a/lib/Consensus/message.cc
+++ b/lib/Consensus/message.cc
@@ -43,8 +43,7 @@
     const auto& object = it.as_object();
     auto packed = NumberAt<uint64_t>(object, "admin");
     members.push_back({NumberAt<ReplicaId>(object, "id"),
-                       UnpackEndpoint(packed),
-                       object.at("is_voter").as_bool(),
+                       UnpackEndpoint(packed), object.at("is_voter").as_bool(),
                        NumberAt<uint64_t>(object, "instance")});
   }
   return members;
--- a/lib/Entry/entry.cc
+++ b/lib/Entry/entry.cc
@@ -15,7 +15,6 @@
 constexpr size_t kMaxUpstreamsPerProbe = 4;
 constexpr size_t kIpAndUdpBytes = 28;
 
-
 wire::Gossip MakeGossip(ControlState& control, membership::Probe probe) {
   wire::Gossip gossip;
   gossip.probe = std::move(probe);
@@ -40,7 +39,9 @@
 }
 
 // What a probe says of its sender's knowledge may be news to this host.
-void CompareWith(ControlState& control, const wire::Gossip& gossip, Instant now,
+void CompareWith(ControlState& control,
+                 const wire::Gossip& gossip,
+                 Instant now,
                  Actions& actions) {
   const auto* sender = FindMember(control, gossip.probe.from);
   if (!sender) {
@@ -59,12 +60,14 @@
   }
 }
 
-void HandleGossip(Entry& entry, const wire::Gossip& gossip, Endpoint from,
-                  Instant now, Actions& actions) {
+void HandleGossip(Entry& entry,
+                  const wire::Gossip& gossip,
+                  Endpoint from,
+                  Instant now,
+                  Actions& actions) {
   auto& control = entry.control;
   for (const auto& record : gossip.upstreams) {
-    control.is_plan_outdated |=
-        upstream::Merge(control.registry, record, now);
+    control.is_plan_outdated |= upstream::Merge(control.registry, record, now);
   }
   SendProbes(entry,
              membership::OnProbe(control.membership, gossip.probe, from, now),
@@ -73,18 +76,20 @@
 }
 
 // The host that judges the upstream; 0 where its failure domain has none.
-HostId CoordinatorOf(const ControlState& control, const upstream::Key& key,
+HostId CoordinatorOf(const ControlState& control,
+                     const upstream::Key& key,
                      std::string_view failure_domain) {
   if (!control.plan) {
     return control.membership.self.id;
   }
-  auto route = steering::RankHosts(
-      control.plan->hosts, CombineHashes(HashText(key.service), key.id),
-      failure_domain);
+  auto route = steering::RankHosts(control.plan->hosts,
+                                   CombineHashes(HashText(key.service), key.id),
+                                   failure_domain);
   return HostAt(*control.plan, route.owner);
 }
 
-void HandleAnnouncement(Entry& entry, const upstream::Announcement& said,
+void HandleAnnouncement(Entry& entry,
+                        const upstream::Announcement& said,
                         Instant now) {
   entry.control.is_plan_outdated |=
       upstream::OnAnnouncement(entry.control.registry, said, now);
@@ -183,8 +188,8 @@
   if (control.move_bytes_at != Instant()) {
     std::chrono::duration<double> passed = now - control.move_bytes_at;
     control.move_bytes =
-        std::min(kMoveBurstBytes, control.move_bytes +
-                                      passed.count() * kMoveBytesPerSecond);
+        std::min(kMoveBurstBytes,
+                 control.move_bytes + passed.count() * kMoveBytesPerSecond);
   }
   control.move_bytes_at = now;
 }
@@ -203,8 +208,7 @@
           shard, static_cast<size_t>(control.move_bytes), now);
     }
     for (auto& notice : notices) {
-      control.move_bytes -=
-          static_cast<double>(steering::NoticeBytes(notice));
+      control.move_bytes -= static_cast<double>(steering::NoticeBytes(notice));
       QueueNotice(entry, std::move(notice), now);
     }
   }
@@ -228,8 +232,11 @@
   ReviewLedgers(entry.control, now);
 }
 
-void HandlePeerMessage(Entry& entry, const wire::PeerMessage& message,
-                       Endpoint from, Instant now, Actions& actions) {
+void HandlePeerMessage(Entry& entry,
+                       const wire::PeerMessage& message,
+                       Endpoint from,
+                       Instant now,
+                       Actions& actions) {
   std::lock_guard lock(entry.control.mutex);
   if (const auto* gossip = std::get_if<wire::Gossip>(&message)) {
     HandleGossip(entry, *gossip, from, now, actions);
@@ -258,7 +265,9 @@
          pull_registries.empty() && pull_tables.empty();
 }
 
-void SendTo(Entry& entry, Endpoint to, const wire::PeerMessage& message,
+void SendTo(Entry& entry,
+            Endpoint to,
+            const wire::PeerMessage& message,
             Actions& actions) {
   auto bytes = wire::Encode(message);
   entry.counters.control_bytes_sent += bytes.size() + kIpAndUdpBytes;
@@ -292,15 +301,19 @@
   return entry;
 }
 
-Actions OnFabricPacket(Entry& entry, std::span<const std::byte> inner,
-                       Endpoint fabric, Instant now) {
+Actions OnFabricPacket(Entry& entry,
+                       std::span<const std::byte> inner,
+                       Endpoint fabric,
+                       Instant now) {
   Actions actions;
   HandlePacket(entry, inner, fabric, 0, false, now, actions);
   return actions;
 }
 
-Actions OnPeerDatagram(Entry& entry, std::span<const std::byte> bytes,
-                       Endpoint from, Instant now) {
+Actions OnPeerDatagram(Entry& entry,
+                       std::span<const std::byte> bytes,
+                       Endpoint from,
+                       Instant now) {
   Actions actions;
   std::string storage;
   auto message = wire::Decode(bytes, storage);
@@ -357,7 +370,8 @@
   return true;
 }
 
-Actions OnAnnouncement(Entry& entry, const upstream::Announcement& said,
+Actions OnAnnouncement(Entry& entry,
+                       const upstream::Announcement& said,
                        Instant now) {
   Actions actions;
   auto& control = entry.control;
@@ -374,8 +388,10 @@
   return actions;
 }
 
-std::optional<wire::Handoff> MakeHandoff(Entry& entry, HostId host,
-                                         uint64_t incarnation, Instant now) {
+std::optional<wire::Handoff> MakeHandoff(Entry& entry,
+                                         HostId host,
+                                         uint64_t incarnation,
+                                         Instant now) {
   auto& control = entry.control;
   std::lock_guard lock(control.mutex);
   const auto* member = FindMember(control, host);
@@ -400,8 +416,10 @@
   return handoff;
 }
 
-void OnHandoff(Entry& entry, HostId peer,
-               const std::optional<wire::Handoff>& handoff, Instant now) {
+void OnHandoff(Entry& entry,
+               HostId peer,
+               const std::optional<wire::Handoff>& handoff,
+               Instant now) {
   auto& control = entry.control;
   std::lock_guard lock(control.mutex);
   if (!handoff || !control.pulls.is_running ||
@@ -424,7 +442,8 @@
   }
 }
 
-void OnRegistry(Entry& entry, std::span<const upstream::Record> records,
+void OnRegistry(Entry& entry,
+                std::span<const upstream::Record> records,
                 Instant now) {
   std::lock_guard lock(entry.control.mutex);
   for (const auto& record : records) {
@@ -433,12 +452,14 @@
   }
 }
 
-void OnUpstreamOutcomes(Entry& entry, const upstream::Key& key,
-                        const upstream::Outcomes& seen, uint32_t limit,
+void OnUpstreamOutcomes(Entry& entry,
+                        const upstream::Key& key,
+                        const upstream::Outcomes& seen,
+                        uint32_t limit,
                         Instant now) {
   std::lock_guard lock(entry.control.mutex);
-  entry.control.is_plan_outdated |= upstream::OnOutcomes(
-      entry.control.registry, key, seen, limit, now);
+  entry.control.is_plan_outdated |=
+      upstream::OnOutcomes(entry.control.registry, key, seen, limit, now);
 }
 
 Actions Leave(Entry& entry, Instant now) {
--- a/lib/Entry/entry_state.h
+++ b/lib/Entry/entry_state.h
@@ -10,7 +10,9 @@
 
 namespace acaciahold::entry {
 
-void SendTo(Entry& entry, Endpoint to, const wire::PeerMessage& message,
+void SendTo(Entry& entry,
+            Endpoint to,
+            const wire::PeerMessage& message,
             Actions& actions);
 
 // The peer endpoint of a member; nothing where it is not in the plan.
@@ -24,29 +26,44 @@
 void FollowPlan(ControlState& control, Instant now);
 void ReportShares(Entry& entry, Instant now, Actions& actions);
 void ReviewLedgers(ControlState& control, Instant now);
-void HandleReports(Entry& entry, const wire::ShareReports& reports,
-                   Endpoint from, Instant now, Actions& actions);
-void HandleGrants(Entry& entry, const wire::ShareGrants& grants,
+void HandleReports(Entry& entry,
+                   const wire::ShareReports& reports,
+                   Endpoint from,
+                   Instant now,
+                   Actions& actions);
+void HandleGrants(Entry& entry,
+                  const wire::ShareGrants& grants,
                   Actions& actions);
 std::vector<wire::LedgerState> LedgersFor(const ControlState& control,
                                           membership::HostId host);
-void MergeLedger(ControlState& control, const wire::LedgerState& state,
+void MergeLedger(ControlState& control,
+                 const wire::LedgerState& state,
                  Instant now);
 
 // Notices: links to the holders of buckets' other copies.
 void QueueNotice(Entry& entry, steering::BucketNotice notice, Instant now);
-void ParkPacket(Entry& entry, const steering::Decision& decision,
-                std::span<const std::byte> inner, Instant now);
+void ParkPacket(Entry& entry,
+                const steering::Decision& decision,
+                std::span<const std::byte> inner,
+                Instant now);
 void FlushLinks(Entry& entry, Instant now, Actions& actions);
 void ResetLinks(Entry& entry);
-void HandleNotices(Entry& entry, const wire::NoticeBatch& batch, Endpoint from,
-                   Instant now, Actions& actions);
-void HandleNoticeAck(Entry& entry, const wire::NoticeAck& ack,
+void HandleNotices(Entry& entry,
+                   const wire::NoticeBatch& batch,
+                   Endpoint from,
+                   Instant now,
+                   Actions& actions);
+void HandleNoticeAck(Entry& entry,
+                     const wire::NoticeAck& ack,
                      Actions& actions);
 
 // Packets: the only part without the control lock.
-void HandlePacket(Entry& entry, std::span<const std::byte> inner,
-                  Endpoint fabric, uint32_t hops, bool is_acting, Instant now,
+void HandlePacket(Entry& entry,
+                  std::span<const std::byte> inner,
+                  Endpoint fabric,
+                  uint32_t hops,
+                  bool is_acting,
+                  Instant now,
                   Actions& actions);
 
 }  // namespace acaciahold::entry
--- a/lib/Entry/notice_link.cc
+++ b/lib/Entry/notice_link.cc
@@ -10,7 +10,9 @@
 namespace {
 
 // Moves what is pending into numbered batches of about a datagram each.
-void Flush(NoticeLink& link, membership::HostId self, uint64_t incarnation,
+void Flush(NoticeLink& link,
+           membership::HostId self,
+           uint64_t incarnation,
            uint64_t& next_sequence) {
   auto pending = std::exchange(link.pending, {});
   NoticeLink::Batch* batch = nullptr;
@@ -49,8 +51,10 @@
   Append(link, {std::move(notice), {}}, now);
 }
 
-void EnqueueParked(NoticeLink& link, steering::BucketNotice notice,
-                   ParkedPacket packet, Instant now) {
+void EnqueueParked(NoticeLink& link,
+                   steering::BucketNotice notice,
+                   ParkedPacket packet,
+                   Instant now) {
   NoticeLink::Pending item{std::move(notice), {}};
   item.parked.push_back(std::move(packet));
   Append(link, std::move(item), now);
--- a/lib/Entry/notices.cc
+++ b/lib/Entry/notices.cc
@@ -49,8 +49,10 @@
   Enqueue(*link, std::move(notice), now);
 }
 
-void ParkPacket(Entry& entry, const steering::Decision& decision,
-                std::span<const std::byte> inner, Instant now) {
+void ParkPacket(Entry& entry,
+                const steering::Decision& decision,
+                std::span<const std::byte> inner,
+                Instant now) {
   auto* link = LinkFor(entry, decision.notice);
   if (!link || CountParked(*link) >= kMaxParkedPackets) {
     return;  // The caller sends it again.
@@ -85,8 +87,11 @@
   entry.control.links.clear();
 }
 
-void HandleNotices(Entry& entry, const wire::NoticeBatch& batch, Endpoint from,
-                   Instant now, Actions& actions) {
+void HandleNotices(Entry& entry,
+                   const wire::NoticeBatch& batch,
+                   Endpoint from,
+                   Instant now,
+                   Actions& actions) {
   for (const auto& notice : batch.notices) {
     auto& shard = ShardFor(entry, notice);
     std::lock_guard lock(shard.mutex);
@@ -96,7 +101,8 @@
          actions);
 }
 
-void HandleNoticeAck(Entry& entry, const wire::NoticeAck& ack,
+void HandleNoticeAck(Entry& entry,
+                     const wire::NoticeAck& ack,
                      Actions& actions) {
   auto& control = entry.control;
   if (ack.incarnation != control.membership.self.incarnation) {
--- a/lib/Entry/packets.cc
+++ b/lib/Entry/packets.cc
@@ -13,7 +13,8 @@
 }
 
 // Tells the caller at once, by way of the fabric that brought the packet.
-void Refuse(std::span<const std::byte> inner, Endpoint fabric,
+void Refuse(std::span<const std::byte> inner,
+            Endpoint fabric,
             Actions& actions) {
   auto refusal = packet::BuildRefusal(inner);
   if (!refusal.empty() && fabric.port != 0) {
@@ -51,8 +52,12 @@
 
 }  // namespace
 
-void HandlePacket(Entry& entry, std::span<const std::byte> inner,
-                  Endpoint fabric, uint32_t hops, bool is_acting, Instant now,
+void HandlePacket(Entry& entry,
+                  std::span<const std::byte> inner,
+                  Endpoint fabric,
+                  uint32_t hops,
+                  bool is_acting,
+                  Instant now,
                   Actions& actions) {
   auto& counters = entry.counters;
   auto parsed = packet::ParseInner(inner);
--- a/lib/Entry/shares.cc
+++ b/lib/Entry/shares.cc
@@ -22,7 +22,8 @@
   const Target* target = nullptr;
 };
 
-Place FindPlace(const ControlState& control, uint64_t service_id,
+Place FindPlace(const ControlState& control,
+                uint64_t service_id,
                 upstream::UpstreamId upstream) {
   Place place;
   place.service = steering::FindService(*control.plan, service_id);
@@ -33,8 +34,7 @@
 }
 
 ShareState* FindShare(ControlState& control, const Place& place) {
-  auto it =
-      control.shares.find({place.service->name, place.target->id});
+  auto it = control.shares.find({place.service->name, place.target->id});
   return it == control.shares.end() ? nullptr : &it->second;
 }
 
@@ -77,8 +77,10 @@
   report.incarnation = control.membership.self.incarnation;
 }
 
-void AddRecord(ControlState& control, const Place& place,
-               const ShareState& state, Outbox& outbox) {
+void AddRecord(ControlState& control,
+               const Place& place,
+               const ShareState& state,
+               Outbox& outbox) {
   auto record = admission::MakeRecord(state.share, *place.target->cell);
   Address(control, place, record);
   auto it = control.ledgers.find(KeyOf(place));
@@ -93,8 +95,11 @@
   outbox[state.backup].reports.push_back(record);
 }
 
-void ReportOne(ControlState& control, const Place& place, ShareState& state,
-               Instant now, Outbox& outbox) {
+void ReportOne(ControlState& control,
+               const Place& place,
+               ShareState& state,
+               Instant now,
+               Outbox& outbox) {
   auto& cell = *place.target->cell;
   bool is_used = place.target->takes_new || admission::OpenFlows(cell) > 0;
   if (!is_used || state.coordinator == 0 ||
@@ -115,7 +120,9 @@
   }
 }
 
-void SendOutbox(Entry& entry, const Outbox& outbox, Instant now,
+void SendOutbox(Entry& entry,
+                const Outbox& outbox,
+                Instant now,
                 Actions& actions) {
   for (const auto& [host, reports] : outbox) {
     if (host == entry.control.membership.self.id) {
@@ -126,8 +133,10 @@
   }
 }
 
-void TakeOutcomes(ControlState& control, const Place& place,
-                  const ShareReport& report, Instant now) {
+void TakeOutcomes(ControlState& control,
+                  const Place& place,
+                  const ShareReport& report,
+                  Instant now) {
   if (report.successes == 0 && report.failures == 0) {
     return;
   }
@@ -137,8 +146,10 @@
   control.is_plan_outdated |= is_changed;
 }
 
-ShareGrant AnswerReport(ControlState& control, const Place& place,
-                        LedgerSlot& slot, const ShareReport& report,
+ShareGrant AnswerReport(ControlState& control,
+                        const Place& place,
+                        LedgerSlot& slot,
+                        const ShareReport& report,
                         Instant now) {
   Instant idle_release = now + place.service->idle_timeout;
   if (report.is_record) {
@@ -182,8 +193,11 @@
   }
 }
 
-void HandleReports(Entry& entry, const wire::ShareReports& reports,
-                   Endpoint from, Instant now, Actions& actions) {
+void HandleReports(Entry& entry,
+                   const wire::ShareReports& reports,
+                   Endpoint from,
+                   Instant now,
+                   Actions& actions) {
   auto& control = entry.control;
   wire::ShareGrants grants;
   for (const auto& report : reports.reports) {
@@ -212,7 +226,8 @@
   }
 }
 
-void HandleGrants(Entry& entry, const wire::ShareGrants& grants,
+void HandleGrants(Entry& entry,
+                  const wire::ShareGrants& grants,
                   Actions& actions) {
   auto& control = entry.control;
   if (grants.host != control.membership.self.id ||
@@ -258,7 +273,8 @@
   return states;
 }
 
-void MergeLedger(ControlState& control, const wire::LedgerState& state,
+void MergeLedger(ControlState& control,
+                 const wire::LedgerState& state,
                  Instant now) {
   auto it = control.ledgers.find({state.service, state.upstream});
   if (it == control.ledgers.end()) {
--- a/lib/Host/control_shell.cc
+++ b/lib/Host/control_shell.cc
@@ -49,10 +49,10 @@
 }
 
 Response UnknownOutcome(const std::string& edit_id) {
-  return http::MakeProblem(Status::gateway_timeout, "outcome-unknown",
-                           "the edit's outcome is not known yet",
-                           "ask for /v1/edits/" + edit_id +
-                               " or send the same edit again");
+  return http::MakeProblem(
+      Status::gateway_timeout, "outcome-unknown",
+      "the edit's outcome is not known yet",
+      "ask for /v1/edits/" + edit_id + " or send the same edit again");
 }
 
 Status StatusOf(table::EditVerdict verdict) {
@@ -90,7 +90,8 @@
 
 }  // namespace
 
-ControlShell::ControlShell(asio::io_context& io, http::Client& client,
+ControlShell::ControlShell(asio::io_context& io,
+                           http::Client& client,
                            const config::Settings& settings,
                            storage::DataFolder folder)
     : io_(io),
@@ -99,11 +100,12 @@
       folder_(std::move(folder)) {}
 
 Result<std::unique_ptr<ControlShell>> ControlShell::Open(
-    asio::io_context& io, http::Client& client,
+    asio::io_context& io,
+    http::Client& client,
     const config::Settings& settings) {
   storage::StoredState stored;
-  BOOST_LEAF_AUTO(folder, storage::DataFolder::Open(
-                              settings.control.data_folder, stored));
+  BOOST_LEAF_AUTO(
+      folder, storage::DataFolder::Open(settings.control.data_folder, stored));
   if (stored.replica_id != settings.control.replica_id) {
     return leaf::new_error(SystemError{
         "use data folder " + settings.control.data_folder,
@@ -243,9 +245,8 @@
 }
 
 void ControlShell::Send(consensus::Message message) {
-  auto member = std::find_if(
-      replica_.members.begin(), replica_.members.end(),
-      [&](const auto& m) { return m.id == message.to; });
+  auto member = std::find_if(replica_.members.begin(), replica_.members.end(),
+                             [&](const auto& m) { return m.id == message.to; });
   if (member == replica_.members.end()) {
     return;
   }
@@ -419,18 +420,17 @@
   auto age = ReadClock() - replica_.current_as_of;
   bool is_current = replica_.leader != 0 &&
                     age < consensus::kElectionTimeoutMax && !has_failed_;
-  json::object status{
-      {"replica_id", replica_.id},
-      {"role", RoleName(replica_.role)},
-      {"leader", replica_.leader},
-      {"term", replica_.hard.term},
-      {"commit", replica_.commit},
-      {"applied", replica_.applied},
-      {"revision", state_.table.revision},
-      {"is_current", is_current},
-      {"has_failed", has_failed_},
-      {"rejected_instances", replica_.rejected_instances},
-      {"members", ToJson(replica_.members)}};
+  json::object status{{"replica_id", replica_.id},
+                      {"role", RoleName(replica_.role)},
+                      {"leader", replica_.leader},
+                      {"term", replica_.hard.term},
+                      {"commit", replica_.commit},
+                      {"applied", replica_.applied},
+                      {"revision", state_.table.revision},
+                      {"is_current", is_current},
+                      {"has_failed", has_failed_},
+                      {"rejected_instances", replica_.rejected_instances},
+                      {"members", ToJson(replica_.members)}};
   if (replica_.current_as_of != Instant()) {
     status["current_as_of_ms"] = ToUnixMillis(replica_.current_as_of);
     status["knowledge_age_ms"] =
--- a/lib/Host/entry_shell.cc
+++ b/lib/Host/entry_shell.cc
@@ -59,12 +59,14 @@
 
 }  // namespace
 
-EntryShell::EntryShell(asio::io_context& io, http::Client& client,
+EntryShell::EntryShell(asio::io_context& io,
+                       http::Client& client,
                        const config::Settings& settings)
     : io_(io), client_(client), settings_(settings) {}
 
 Result<std::unique_ptr<EntryShell>> EntryShell::Open(
-    asio::io_context& io, http::Client& client,
+    asio::io_context& io,
+    http::Client& client,
     const config::Settings& settings,
     std::shared_ptr<opentracing::Tracer> tracer) {
   std::unique_ptr<EntryShell> shell(new EntryShell(io, client, settings));
@@ -201,18 +203,18 @@
     incarnation = entry_->control.membership.self.incarnation;
   }
   auto id = membership::MakeHostId(settings_.name);
-  auto result = co_await client_.Fetch(
-      from,
-      Get("/v1/handoff?host=" + std::to_string(id) +
-          "&incarnation=" + std::to_string(incarnation)),
-      ReadClock() + kPullTimeout);
+  auto result =
+      co_await client_.Fetch(from,
+                             Get("/v1/handoff?host=" + std::to_string(id) +
+                                 "&incarnation=" + std::to_string(incarnation)),
+                             ReadClock() + kPullTimeout);
   if (result.end != http::FetchEnd::kAnswer ||
       result.response.result() != Status::ok) {
     co_return;
   }
   entry_->counters.control_bytes_received += result.response.body().size();
-  entry::OnHandoff(*entry_, peer,
-                   wire::DecodeHandoff(result.response.body()), ReadClock());
+  entry::OnHandoff(*entry_, peer, wire::DecodeHandoff(result.response.body()),
+                   ReadClock());
 }
 
 std::optional<Response> EntryShell::Handle(const http::Request& request) {
--- a/lib/Host/host.cc
+++ b/lib/Host/host.cc
@@ -104,8 +104,10 @@
                             "text/plain; version=0.0.4");
 }
 
-json::value HostLine(std::string_view name, std::string_view failure_domain,
-                     Endpoint admin, std::string_view state) {
+json::value HostLine(std::string_view name,
+                     std::string_view failure_domain,
+                     Endpoint admin,
+                     std::string_view state) {
   return {{"name", name},
           {"failure_domain", failure_domain},
           {"admin", FormatEndpoint(admin)},
@@ -120,8 +122,7 @@
     std::lock_guard lock(control.mutex);
     for (const auto& it : membership::Snapshot(control.membership)) {
       hosts.push_back(HostLine(it.host.name, it.host.failure_domain,
-                               it.host.admin,
-                               membership::StateName(it.state)));
+                               it.host.admin, membership::StateName(it.state)));
     }
   } else {
     for (const auto& it : process.settings.entry_hosts) {
@@ -132,8 +133,7 @@
   return http::MakeResponse(Status::ok, json::serialize(hosts));
 }
 
-asio::awaitable<Response> HandleAdmin(Process& process,
-                                      http::Request request) {
+asio::awaitable<Response> HandleAdmin(Process& process, http::Request request) {
   std::string_view target(request.target().data(), request.target().size());
   auto path = http::PathOf(target);
   if (path == "/metrics") {
@@ -186,28 +186,26 @@
 
 Result<void> OpenProcess(Process& process) {
   const auto& settings = process.settings;
-  BOOST_LEAF_ASSIGN(process.tracer,
-                    observe::MakeTracer(settings.trace_file));
+  BOOST_LEAF_ASSIGN(process.tracer, observe::MakeTracer(settings.trace_file));
   if (!settings.history_file.empty()) {
     BOOST_LEAF_ASSIGN(process.history,
                       observe::History::Open(settings.history_file));
   }
   if (settings.is_control) {
-    BOOST_LEAF_ASSIGN(process.control, ControlShell::Open(process.io,
-                                                          process.client,
-                                                          settings));
+    BOOST_LEAF_ASSIGN(process.control,
+                      ControlShell::Open(process.io, process.client, settings));
   }
   if (settings.is_entry) {
     BOOST_LEAF_CHECK(OpenEntry(process));
   }
   http::ServerLimits limits;
   limits.max_body_bytes = kMaxAdminBodyBytes;
-  BOOST_LEAF_ASSIGN(
-      process.admin_server,
-      http::Server::Listen(process.io, settings.admin, limits,
-                           [&process](http::Request request) {
-                             return HandleAdmin(process, std::move(request));
-                           }));
+  BOOST_LEAF_ASSIGN(process.admin_server,
+                    http::Server::Listen(process.io, settings.admin, limits,
+                                         [&process](http::Request request) {
+                                           return HandleAdmin(
+                                               process, std::move(request));
+                                         }));
   return {};
 }
 
@@ -257,8 +255,7 @@
 }
 
 asio::awaitable<void> AwaitSignals(Process& process) {
-  asio::signal_set signals(co_await asio::this_coro::executor, SIGTERM,
-                           SIGINT);
+  asio::signal_set signals(co_await asio::this_coro::executor, SIGTERM, SIGINT);
   while (true) {
     auto [ec, number] = co_await signals.async_wait(kToken);
     if (ec) {
--- a/lib/Host/host_metrics.cc
+++ b/lib/Host/host_metrics.cc
@@ -25,12 +25,14 @@
 
 class Families {
  public:
-  void Begin(std::string name, std::string help,
+  void Begin(std::string name,
+             std::string help,
              MetricType type = MetricType::Counter) {
     families_.push_back({std::move(name), std::move(help), type, {}});
   }
 
-  void Add(uint64_t value, std::string_view label = "",
+  void Add(uint64_t value,
+           std::string_view label = "",
            std::string_view label_value = "") {
     ClientMetric metric;
     if (!label.empty()) {
@@ -95,10 +97,9 @@
   families.Add(c.answered, "outcome", "answered");
   families.Add(c.unknown, "outcome", "unknown");
   for (size_t i = 1; i < kRefusals; ++i) {
-    families.Add(
-        c.refused[i], "outcome",
-        "refused-" + std::string(request::RefusalName(
-                         static_cast<request::Refusal>(i))));
+    families.Add(c.refused[i], "outcome",
+                 "refused-" + std::string(request::RefusalName(
+                                  static_cast<request::Refusal>(i))));
   }
   families.Begin("acaciahold_request_attempts_total", "Attempts at upstreams");
   families.Add(c.attempts);
@@ -113,7 +114,8 @@
   families.Add(requests.open_requests());
 }
 
-void AddServer(Families& families, const http::Server& server,
+void AddServer(Families& families,
+               const http::Server& server,
                std::string_view name) {
   const auto& c = server.counters();
   std::string prefix = "acaciahold_http_" + std::string(name);
--- a/lib/Host/request_dispatch.cc
+++ b/lib/Host/request_dispatch.cc
@@ -70,8 +70,7 @@
   bool is_idle_ = false;
 };
 
-void RequestShell::ReturnSlot(const std::string& service,
-                              UpstreamId upstream) {
+void RequestShell::ReturnSlot(const std::string& service, UpstreamId upstream) {
   {
     std::lock_guard lock(mutex_);
     request::ReleaseSlot(dispatcher_, service, upstream);
@@ -82,14 +81,14 @@
 void RequestShell::ReturnSlotLater(std::string service, UpstreamId upstream) {
   auto timer = std::make_shared<asio::steady_timer>(io_);
   timer->expires_after(kCancelGrace);
-  timer->async_wait([this, timer, service = std::move(service),
-                     upstream](boost::system::error_code) {
-    ReturnSlot(service, upstream);
-  });
+  timer->async_wait(
+      [this, timer, service = std::move(service),
+       upstream](boost::system::error_code) { ReturnSlot(service, upstream); });
 }
 
 std::vector<request::SlotCandidate> RequestShell::Candidates(
-    const request::ServiceRoutes& service, Instant now) {
+    const request::ServiceRoutes& service,
+    Instant now) {
   std::vector<request::SlotCandidate> candidates;
   for (const auto& target : service.local) {
     auto it = paused_until_.find(target.key);
@@ -128,7 +127,8 @@
 }
 
 asio::awaitable<std::optional<UpstreamId>> RequestShell::WaitForSlot(
-    const std::string& service, Instant deadline) {
+    const std::string& service,
+    Instant deadline) {
   using asio::experimental::awaitable_operators::operator||;
   auto executor = co_await asio::this_coro::executor;
   auto routes = Routes();
@@ -141,8 +141,8 @@
   {
     std::lock_guard lock(mutex_);
     Instant now = ReadClock();
-    auto admission = request::Admit(dispatcher_, service,
-                                    Candidates(it->second, now), now);
+    auto admission =
+        request::Admit(dispatcher_, service, Candidates(it->second, now), now);
     if (const auto* granted = std::get_if<request::Granted>(&admission)) {
       co_return granted->upstream;
     }
@@ -184,7 +184,8 @@
 }
 
 asio::awaitable<std::pair<AttemptEnd, Response>> RequestShell::DispatchHere(
-    const Call& call, uint32_t attempt) {
+    const Call& call,
+    uint32_t attempt) {
   auto upstream = co_await WaitForSlot(call.service, call.deadline);
   if (!upstream) {
     co_return std::pair(AttemptEnd::kShed, Response());
@@ -192,9 +193,8 @@
   SlotHold hold(*this, call.service, *upstream);
   auto routes = Routes();
   auto it = routes->services.find(call.service);
-  const auto* target = it == routes->services.end()
-                           ? nullptr
-                           : FindLocal(it->second, *upstream);
+  const auto* target =
+      it == routes->services.end() ? nullptr : FindLocal(it->second, *upstream);
   if (!target || ReadClock() >= call.deadline) {
     hold.SetIdle();
     co_return std::pair(AttemptEnd::kShed, Response());
@@ -222,7 +222,9 @@
 }
 
 asio::awaitable<std::pair<AttemptEnd, Response>> RequestShell::SendUpstream(
-    const Call& call, const request::LocalTarget& target, uint32_t attempt) {
+    const Call& call,
+    const request::LocalTarget& target,
+    uint32_t attempt) {
   std::string name = call.id + "-" + std::to_string(attempt);
   auto span = tracer_->StartSpan("attempt");
   span->SetTag("request", call.id);
--- a/lib/Host/request_relay.cc
+++ b/lib/Host/request_relay.cc
@@ -27,10 +27,10 @@
 }
 
 Response RefusalProblem(Refusal refusal) {
-  auto problem = http::MakeProblem(
-      Status::service_unavailable,
-      "refused-" + std::string(request::RefusalName(refusal)),
-      "the request was not run", "it can be sent again");
+  auto problem =
+      http::MakeProblem(Status::service_unavailable,
+                        "refused-" + std::string(request::RefusalName(refusal)),
+                        "the request was not run", "it can be sent again");
   problem.set(http::Field::retry_after, "1");
   problem.set(http::kOutcomeHeader, "not-run");
   return problem;
@@ -71,15 +71,16 @@
                            "send a changed request with a new key");
 }
 
-void ApplyOutcome(request::KeyTable& keys, const std::string& key,
+void ApplyOutcome(request::KeyTable& keys,
+                  const std::string& key,
                   const CallOutcome& outcome) {
   switch (outcome.state) {
     case State::kAnswered: {
       auto type = outcome.answer[http::Field::content_type];
-      request::FinishKey(keys, key,
-                         {outcome.answer.result_int(),
-                          std::string(type.data(), type.size()),
-                          outcome.answer.body()});
+      request::FinishKey(
+          keys, key,
+          {outcome.answer.result_int(), std::string(type.data(), type.size()),
+           outcome.answer.body()});
       return;
     }
     case State::kRefused:
@@ -199,8 +200,7 @@
   relay.set(kMethodHeader, call.request.method_string());
   relay.set(kIdHeader, call.id);
   relay.set(kHashHeader, std::to_string(call.request_hash));
-  relay.set(http::kDeadlineHeader,
-            std::to_string(ToUnixMillis(call.deadline)));
+  relay.set(http::kDeadlineHeader, std::to_string(ToUnixMillis(call.deadline)));
   if (!call.key.empty()) {
     relay.set(kRelayKeyHeader, call.key);
   }
@@ -244,8 +244,8 @@
     case State::kAnswered: {
       ++counters_.answered;
       auto answer = outcome.answer;
-      for (auto header : {kLoadHeader, http::kOutcomeHeader,
-                          http::kAttemptHeader}) {
+      for (auto header :
+           {kLoadHeader, http::kOutcomeHeader, http::kAttemptHeader}) {
         answer.erase(header);
       }
       return answer;
--- a/lib/Host/request_shell.cc
+++ b/lib/Host/request_shell.cc
@@ -71,9 +71,7 @@
 // Counts an open request while it lives.
 class OpenCount {
  public:
-  explicit OpenCount(std::atomic<uint64_t>& count) : count_(count) {
-    ++count_;
-  }
+  explicit OpenCount(std::atomic<uint64_t>& count) : count_(count) { ++count_; }
   OpenCount(const OpenCount&) = delete;
   OpenCount& operator=(const OpenCount&) = delete;
   ~OpenCount() { --count_; }
@@ -88,8 +86,10 @@
 
 }  // namespace
 
-RequestShell::RequestShell(asio::io_context& io, http::Client& client,
-                           entry::Entry& entry, uint64_t max_open_requests,
+RequestShell::RequestShell(asio::io_context& io,
+                           http::Client& client,
+                           entry::Entry& entry,
+                           uint64_t max_open_requests,
                            std::shared_ptr<opentracing::Tracer> tracer,
                            observe::History* history)
     : io_(io),
@@ -210,8 +210,8 @@
     if (may_have_run) {
       relay.set(kLookupHeader, "1");
     }
-    auto result = co_await client_.Fetch(host.admin, std::move(relay),
-                                         call.deadline);
+    auto result =
+        co_await client_.Fetch(host.admin, std::move(relay), call.deadline);
     if (result.end == FetchEnd::kAnswer) {
       co_return ReadOutcome(std::move(result.response), may_have_run);
     }
@@ -238,14 +238,14 @@
 }
 
 asio::awaitable<CallOutcome> RequestShell::RunAsKeyOwner(
-    Call call, std::vector<request::KeyHost> hosts) {
+    Call call,
+    std::vector<request::KeyHost> hosts) {
   auto key = RecordKey(call.service, call.key);
   std::shared_ptr<Run> run;
   bool is_new = false;
   {
     std::lock_guard lock(key_mutex_);
-    auto lookup =
-        request::BeginKey(keys_, key, call.request_hash, ReadClock());
+    auto lookup = request::BeginKey(keys_, key, call.request_hash, ReadClock());
     switch (lookup.verdict) {
       case KeyVerdict::kOtherBody:
         co_return CallOutcome{State::kAnswered, {}, OtherBodyProblem()};
@@ -301,7 +301,9 @@
 }
 
 asio::awaitable<void> RequestShell::RunKeyed(
-    Call call, std::vector<request::KeyHost> hosts, std::shared_ptr<Run> run) {
+    Call call,
+    std::vector<request::KeyHost> hosts,
+    std::shared_ptr<Run> run) {
   OpenCount open(open_);
   CallOutcome outcome{State::kUnknown, {}, {}};
   try {
@@ -332,7 +334,8 @@
 // The record stands at a second host before the request goes upstream. The
 // next host in rank stands in for one that can't be reached.
 asio::awaitable<bool> RequestShell::StoreAtBackup(
-    const Call& call, const std::vector<request::KeyHost>& hosts) {
+    const Call& call,
+    const std::vector<request::KeyHost>& hosts) {
   bool has_other = false;
   for (const auto& host : hosts) {
     if (host.is_self) {
@@ -382,11 +385,11 @@
     uint32_t attempt = 0;
     if (it != routes->services.end()) {
       std::lock_guard lock(mutex_);
-      auto load = request::LoadOf(dispatcher_, call.service,
-                                  request::CandidatesOf(it->second),
-                                  ReadClock());
-      choice = request::Choose(*routes, it->second, load, loads_, avoid,
-                               random_);
+      auto load =
+          request::LoadOf(dispatcher_, call.service,
+                          request::CandidatesOf(it->second), ReadClock());
+      choice =
+          request::Choose(*routes, it->second, load, loads_, avoid, random_);
       if (choice) {
         auto host = choice->is_local ? routes->self : choice->remote.host;
         counters_.retries += state.attempt > 0;
@@ -410,7 +413,9 @@
 }
 
 asio::awaitable<std::pair<AttemptEnd, Response>> RequestShell::AttemptAt(
-    const request::Choice& choice, const Call& call, uint32_t attempt) {
+    const request::Choice& choice,
+    const Call& call,
+    uint32_t attempt) {
   if (choice.is_local) {
     co_return co_await DispatchHere(call, attempt);
   }
@@ -473,8 +478,8 @@
     return http::MakeProblem(Status::service_unavailable, "keys-full",
                              "no more keys can be kept", "");
   }
-  request::StoreKey(keys_, RecordKey(call.service, call.key),
-                    call.request_hash, ReadClock());
+  request::StoreKey(keys_, RecordKey(call.service, call.key), call.request_hash,
+                    ReadClock());
   return http::MakeResponse(Status::ok, "{}");
 }
 
--- a/lib/Host/udp.cc
+++ b/lib/Host/udp.cc
@@ -4,14 +4,13 @@
 
 #include <vector>
 
+#include <arpa/inet.h>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
-
-#include <arpa/inet.h>
 #include <sys/socket.h>
 
 namespace acaciahold::host {
@@ -55,9 +54,9 @@
         asio::socket_base::receive_buffer_size(kSocketBufferBytes), ignored);
     socket.set_option(asio::socket_base::send_buffer_size(kSocketBufferBytes),
                       ignored);
-    socket.bind(udp::endpoint(asio::ip::address_v4(endpoint.address),
-                              endpoint.port),
-                ec);
+    socket.bind(
+        udp::endpoint(asio::ip::address_v4(endpoint.address), endpoint.port),
+        ec);
   }
   if (!ec) {
     socket.non_blocking(true, ec);
@@ -92,8 +91,8 @@
                                          Receiver receiver) {
   std::vector<std::byte> buf(kMaxDatagramBytes);
   while (self->socket_.is_open()) {
-    auto [ec] = co_await self->socket_.async_wait(udp::socket::wait_read,
-                                                  kToken);
+    auto [ec] =
+        co_await self->socket_.async_wait(udp::socket::wait_read, kToken);
     if (ec) {
       co_return;
     }
--- a/lib/Http/client.cc
+++ b/lib/Http/client.cc
@@ -13,7 +13,6 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
-
 #include <sys/socket.h>
 
 namespace acaciahold::http {
@@ -71,7 +70,8 @@
   }
 }
 
-asio::awaitable<FetchResult> Client::Fetch(Endpoint to, Request request,
+asio::awaitable<FetchResult> Client::Fetch(Endpoint to,
+                                           Request request,
                                            Instant deadline) {
   auto stream = TakeIdle(to);
   bool is_new = !stream;
@@ -87,7 +87,8 @@
 
 asio::awaitable<FetchResult> Client::Exchange(Endpoint to,
                                               std::unique_ptr<Stream> stream,
-                                              bool is_new, Request request,
+                                              bool is_new,
+                                              Request request,
                                               Instant deadline) {
   FetchResult result;
   if (is_new) {
--- a/lib/Http/message.cc
+++ b/lib/Http/message.cc
@@ -8,7 +8,8 @@
 
 namespace json = boost::json;
 
-Response MakeResponse(Status status, std::string body,
+Response MakeResponse(Status status,
+                      std::string body,
                       std::string_view content_type) {
   Response response(status, 11);
   response.set(Field::content_type, content_type);
@@ -17,8 +18,10 @@
   return response;
 }
 
-Response MakeProblem(Status status, std::string_view type,
-                     std::string_view title, std::string_view detail) {
+Response MakeProblem(Status status,
+                     std::string_view type,
+                     std::string_view title,
+                     std::string_view detail) {
   json::object problem{{"type", "urn:acaciahold:problem:" + std::string(type)},
                        {"title", title},
                        {"status", static_cast<int>(status)},
--- a/lib/Http/server.cc
+++ b/lib/Http/server.cc
@@ -16,7 +16,6 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
-
 #include <sys/socket.h>
 
 namespace acaciahold::http {
@@ -52,7 +51,8 @@
   }
 }
 
-asio::awaitable<void> SendProblem(beast::tcp_stream& stream, Status status,
+asio::awaitable<void> SendProblem(beast::tcp_stream& stream,
+                                  Status status,
                                   std::string_view type,
                                   std::string_view detail) {
   auto problem = MakeProblem(status, type, type, detail);
@@ -60,7 +60,8 @@
   co_await beast::http::async_write(stream, problem, kToken);
 }
 
-asio::awaitable<void> RejectRequest(beast::tcp_stream& stream, error_code ec,
+asio::awaitable<void> RejectRequest(beast::tcp_stream& stream,
+                                    error_code ec,
                                     ServerCounters& counters) {
   if (ec == beast::http::error::body_limit) {
     ++counters.body_too_large;
--- a/lib/Membership/membership.cc
+++ b/lib/Membership/membership.cc
@@ -58,9 +58,8 @@
       waiting.push_back(&member);
     }
   }
-  std::sort(waiting.begin(), waiting.end(), [](auto* a, auto* b) {
-    return a->sends_left > b->sends_left;
-  });
+  std::sort(waiting.begin(), waiting.end(),
+            [](auto* a, auto* b) { return a->sends_left > b->sends_left; });
   for (auto* member : waiting) {
     if (updates.size() == kMaxUpdatesPerMessage) {
       break;
@@ -83,8 +82,11 @@
   return probe;
 }
 
-void SetState(Membership& membership, Member& member, MemberState state,
-              Instant now, Output& output) {
+void SetState(Membership& membership,
+              Member& member,
+              MemberState state,
+              Instant now,
+              Output& output) {
   member.known.state = state;
   member.sends_left = SendsFor(membership);
   member.suspect_deadline = now + kSuspicionTimeout;
@@ -93,7 +95,8 @@
 }
 
 // News of this host itself: refutes it where it is wrong.
-void LearnOfSelf(Membership& membership, const MemberUpdate& update,
+void LearnOfSelf(Membership& membership,
+                 const MemberUpdate& update,
                  Output& output) {
   if (update.host.incarnation > membership.self.incarnation) {
     // An earlier life had a later clock; this life goes above it.
@@ -110,7 +113,9 @@
   output.view_changed = true;
 }
 
-void LearnOne(Membership& membership, const MemberUpdate& update, Instant now,
+void LearnOne(Membership& membership,
+              const MemberUpdate& update,
+              Instant now,
               Output& output) {
   if (update.host.id == membership.self.id) {
     LearnOfSelf(membership, update, output);
@@ -152,8 +157,12 @@
   }
 }
 
-void SendPing(Membership& membership, const Member& target, HostId on_behalf_of,
-              uint64_t their_sequence, Instant now, Output& output) {
+void SendPing(Membership& membership,
+              const Member& target,
+              HostId on_behalf_of,
+              uint64_t their_sequence,
+              Instant now,
+              Output& output) {
   OutstandingPing ping;
   ping.sequence = membership.next_sequence++;
   ping.target = target.known.host.id;
@@ -178,8 +187,7 @@
   std::shuffle(helpers.begin(), helpers.end(), membership.random);
   helpers.resize(std::min(helpers.size(), kIndirectProbes));
   for (const auto* helper : helpers) {
-    auto probe =
-        MakeProbe(membership, ProbeKind::kPingRequest, ping.sequence);
+    auto probe = MakeProbe(membership, ProbeKind::kPingRequest, ping.sequence);
     probe.subject = ping.target;
     output.probes.push_back({helper->known.host.peer, std::move(probe)});
   }
@@ -269,8 +277,10 @@
   return "dead";
 }
 
-Membership StartMembership(HostRecord self, std::span<const HostRecord> seeds,
-                           uint64_t seed, Instant now) {
+Membership StartMembership(HostRecord self,
+                           std::span<const HostRecord> seeds,
+                           uint64_t seed,
+                           Instant now) {
   Membership membership;
   membership.self = std::move(self);
   membership.random.seed(seed);
@@ -296,7 +306,9 @@
   return output;
 }
 
-Output OnProbe(Membership& membership, const Probe& probe, Endpoint from,
+Output OnProbe(Membership& membership,
+               const Probe& probe,
+               Endpoint from,
                Instant now) {
   Output output;
   for (const auto& update : probe.updates) {
@@ -330,7 +342,8 @@
   return output;
 }
 
-Output Learn(Membership& membership, std::span<const MemberUpdate> updates,
+Output Learn(Membership& membership,
+             std::span<const MemberUpdate> updates,
              Instant now) {
   Output output;
   for (const auto& update : updates) {
--- a/lib/Observe/history.cc
+++ b/lib/Observe/history.cc
@@ -14,7 +14,8 @@
   return std::unique_ptr<History>(new History(std::move(out)));
 }
 
-void History::Write(Instant at, std::string_view kind,
+void History::Write(Instant at,
+                    std::string_view kind,
                     boost::json::object event) {
   event["at_ns"] = at.time_since_epoch().count();
   event["kind"] = kind;
--- a/lib/Operator/commands.cc
+++ b/lib/Operator/commands.cc
@@ -216,7 +216,8 @@
               ", but not yet in force at" + names);
 }
 
-int ReportEdit(const CommandOptions& options, const Answer& answer,
+int ReportEdit(const CommandOptions& options,
+               const Answer& answer,
                const table::Edit& edit) {
   if (options.is_json) {
     std::cout << json::serialize(answer.body) << "\n";
@@ -238,11 +239,13 @@
                   << row.revision << ":\n"
                   << table::WriteTableText({&row, 1});
       }
-      return Fail("nothing was changed; compare with 'table diff' and apply "
-                  "again");
+      return Fail(
+          "nothing was changed; compare with 'table diff' and apply "
+          "again");
     case table::EditVerdict::kReusedId:
-      return Fail("edit id " + edit.id + " belongs to another edit; nothing "
-                                         "was changed");
+      return Fail("edit id " + edit.id +
+                  " belongs to another edit; nothing "
+                  "was changed");
     case table::EditVerdict::kInvalid:
       for (const auto& fault : outcome->faults) {
         std::cerr << Describe(fault) << "\n";
@@ -254,8 +257,7 @@
 
 int ChangeMembers(const CommandOptions& options,
                   const std::function<void(json::array&)>& change) {
-  auto status =
-      Ask(options.control, http::Verb::get, "/v1/control/status", "");
+  auto status = Ask(options.control, http::Verb::get, "/v1/control/status", "");
   if (status.status != 200) {
     return Fail(DetailOf(status));
   }
@@ -336,9 +338,8 @@
     if (!entry) {
       return Fail("a history entry can't be read");
     }
-    std::cout << entry->revision << " "
-              << ToUnixMillis(entry->edit.made_at) << " "
-              << entry->edit.author << " " << entry->edit.id;
+    std::cout << entry->revision << " " << ToUnixMillis(entry->edit.made_at)
+              << " " << entry->edit.author << " " << entry->edit.id;
     for (const auto& change : entry->edit.changes) {
       std::cout << (change.put ? " put " : " remove ") << change.name;
     }
@@ -387,7 +388,8 @@
   return kDone;
 }
 
-int AddControlHost(const CommandOptions& options, uint32_t replica_id,
+int AddControlHost(const CommandOptions& options,
+                   uint32_t replica_id,
                    Endpoint admin) {
   return ChangeMembers(options, [&](json::array& members) {
     members.push_back({{"id", replica_id},
--- a/lib/Operator/connection.cc
+++ b/lib/Operator/connection.cc
@@ -17,19 +17,21 @@
   boost::asio::io_context io;
   http::Client client(io);
   http::FetchResult result;
-  boost::asio::co_spawn(
-      io, client.Fetch(host, request, ReadClock() + kAskTimeout),
-      [&](std::exception_ptr, http::FetchResult fetched) {
-        result = std::move(fetched);
-      });
+  boost::asio::co_spawn(io,
+                        client.Fetch(host, request, ReadClock() + kAskTimeout),
+                        [&](std::exception_ptr, http::FetchResult fetched) {
+                          result = std::move(fetched);
+                        });
   io.run();
   return result;
 }
 
 }  // namespace
 
-Answer Ask(std::span<const Endpoint> hosts, http::Verb verb,
-           const std::string& target, const std::string& body) {
+Answer Ask(std::span<const Endpoint> hosts,
+           http::Verb verb,
+           const std::string& target,
+           const std::string& body) {
   http::Request request(verb, target, 11);
   request.body() = body;
   Answer answer;
--- a/lib/Request/dispatcher.cc
+++ b/lib/Request/dispatcher.cc
@@ -10,7 +10,8 @@
 namespace acaciahold::request {
 namespace {
 
-bool IsUsable(const ServiceSlots& slots, const SlotCandidate& candidate,
+bool IsUsable(const ServiceSlots& slots,
+              const SlotCandidate& candidate,
               Instant now) {
   auto it = slots.counts.find(candidate.id);
   return it != slots.counts.end() && now >= it->second.usable_at;
@@ -24,7 +25,8 @@
 // The candidate with the lowest part of its slots busy; of equal ones, that
 // which has waited longest.
 std::optional<upstream::UpstreamId> TakeSlot(
-    ServiceSlots& slots, std::span<const SlotCandidate> candidates,
+    ServiceSlots& slots,
+    std::span<const SlotCandidate> candidates,
     Instant now) {
   SlotCount* best = nullptr;
   const SlotCandidate* chosen = nullptr;
@@ -52,8 +54,10 @@
 
 }  // namespace
 
-Admission Admit(Dispatcher& dispatcher, const std::string& service,
-                std::span<const SlotCandidate> candidates, Instant now) {
+Admission Admit(Dispatcher& dispatcher,
+                const std::string& service,
+                std::span<const SlotCandidate> candidates,
+                Instant now) {
   auto& slots = dispatcher.services[service];
   if (slots.waiters.empty()) {
     if (auto upstream = TakeSlot(slots, candidates, now)) {
@@ -68,7 +72,8 @@
   return Queued{dispatcher.next_waiter++};
 }
 
-void ReleaseSlot(Dispatcher& dispatcher, const std::string& service,
+void ReleaseSlot(Dispatcher& dispatcher,
+                 const std::string& service,
                  upstream::UpstreamId upstream) {
   auto& count = dispatcher.services[service].counts[upstream];
   AssertInvariant(count.busy > 0, "a released slot was taken");
@@ -92,13 +97,16 @@
   return grants;
 }
 
-void RemoveWaiter(Dispatcher& dispatcher, const std::string& service,
+void RemoveWaiter(Dispatcher& dispatcher,
+                  const std::string& service,
                   WaiterId waiter) {
   std::erase(dispatcher.services[service].waiters, waiter);
 }
 
-void BeginCoordination(Dispatcher& dispatcher, const upstream::Key& key,
-                       bool is_first, Instant now) {
+void BeginCoordination(Dispatcher& dispatcher,
+                       const upstream::Key& key,
+                       bool is_first,
+                       Instant now) {
   auto& counts = dispatcher.services[key.service].counts;
   auto [it, is_new] = counts.try_emplace(key.id);
   if (is_new) {
@@ -106,8 +114,10 @@
   }
 }
 
-DispatchLoad LoadOf(const Dispatcher& dispatcher, const std::string& service,
-                    std::span<const SlotCandidate> candidates, Instant now) {
+DispatchLoad LoadOf(const Dispatcher& dispatcher,
+                    const std::string& service,
+                    std::span<const SlotCandidate> candidates,
+                    Instant now) {
   DispatchLoad load;
   auto it = dispatcher.services.find(service);
   if (it == dispatcher.services.end()) {
--- a/lib/Request/key_table.cc
+++ b/lib/Request/key_table.cc
@@ -24,8 +24,10 @@
   }
 }
 
-KeyRecord& Insert(KeyTable& table, const std::string& key,
-                  uint64_t request_hash, Instant now) {
+KeyRecord& Insert(KeyTable& table,
+                  const std::string& key,
+                  uint64_t request_hash,
+                  Instant now) {
   auto [it, is_new] = table.records.try_emplace(key);
   if (is_new) {
     table.order.push_back(key);
@@ -37,8 +39,10 @@
 
 }  // namespace
 
-KeyLookup BeginKey(KeyTable& table, const std::string& key,
-                   uint64_t request_hash, Instant now) {
+KeyLookup BeginKey(KeyTable& table,
+                   const std::string& key,
+                   uint64_t request_hash,
+                   Instant now) {
   ExpireKeys(table, now);
   auto it = table.records.find(key);
   if (it == table.records.end()) {
@@ -61,7 +65,9 @@
   return {KeyVerdict::kUnknown, {}};
 }
 
-void StoreKey(KeyTable& table, const std::string& key, uint64_t request_hash,
+void StoreKey(KeyTable& table,
+              const std::string& key,
+              uint64_t request_hash,
               Instant now) {
   ExpireKeys(table, now);
   Insert(table, key, request_hash, now);
--- a/lib/Request/request.cc
+++ b/lib/Request/request.cc
@@ -24,7 +24,9 @@
 }
 
 // Waits for another attempt, if the request may be sent again.
-void RetryOrFinish(Request& request, RetryBudget& budget, Refusal refusal,
+void RetryOrFinish(Request& request,
+                   RetryBudget& budget,
+                   Refusal refusal,
                    Instant now) {
   bool may_resend = request.is_idempotent || !request.may_have_run;
   if (!may_resend) {
@@ -56,7 +58,8 @@
   return std::find(kMethods.begin(), kMethods.end(), method) != kMethods.end();
 }
 
-uint32_t Dispatch(Request& request, RetryBudget& budget,
+uint32_t Dispatch(Request& request,
+                  RetryBudget& budget,
                   upstream::UpstreamId upstream) {
   AssertInvariant(request.state == State::kWaiting,
                   "only a waiting request is dispatched");
@@ -69,8 +72,11 @@
   return ++request.attempt;
 }
 
-void OnAttemptEnd(Request& request, RetryBudget& budget, uint32_t attempt,
-                  AttemptEnd end, Instant now) {
+void OnAttemptEnd(Request& request,
+                  RetryBudget& budget,
+                  uint32_t attempt,
+                  AttemptEnd end,
+                  Instant now) {
   if (request.state != State::kDispatched || attempt != request.attempt) {
     return;
   }
--- a/lib/Request/routes.cc
+++ b/lib/Request/routes.cc
@@ -17,7 +17,8 @@
   return upstream::LimitAtStep(full, row.limits.cold, r.ramp_step);
 }
 
-void AddRemote(ServiceRoutes& routes, const steering::PlanHost& host,
+void AddRemote(ServiceRoutes& routes,
+               const steering::PlanHost& host,
                uint32_t slots) {
   auto it = std::find_if(routes.remote.begin(), routes.remote.end(),
                          [&](const auto& r) { return r.host == host.id; });
@@ -36,9 +37,8 @@
   for (auto it = entries.lower_bound({row.name, 0});
        it != entries.end() && it->first.service == row.name; ++it) {
     const auto& record = it->second.record;
-    bool takes_new =
-        record.said.phase == upstream::Phase::kServing &&
-        table::WeightOf(row, record.said.failure_domain) > 0;
+    bool takes_new = record.said.phase == upstream::Phase::kServing &&
+                     table::WeightOf(row, record.said.failure_domain) > 0;
     auto route = steering::RankHosts(
         control.plan->hosts, CombineHashes(HashText(row.name), it->first.id),
         record.said.failure_domain);
@@ -69,7 +69,8 @@
   double load = 0;
 };
 
-const Place& Draw(const std::vector<Place>& places, uint64_t total,
+const Place& Draw(const std::vector<Place>& places,
+                  uint64_t total,
                   std::mt19937_64& random) {
   std::uniform_int_distribution<uint64_t> spread(0, total - 1);
   uint64_t at = spread(random);
@@ -85,7 +86,8 @@
 }  // namespace
 
 std::shared_ptr<const RequestRoutes> RefreshRoutes(
-    entry::Entry& entry, std::shared_ptr<const RequestRoutes> known) {
+    entry::Entry& entry,
+    std::shared_ptr<const RequestRoutes> known) {
   const auto& control = entry.control;
   std::lock_guard lock(control.mutex);
   if (!control.plan || (known && known->epoch == control.plan->epoch)) {
@@ -109,9 +111,8 @@
   uint64_t rank_key = CombineHashes(HashText(service), HashText(key));
   std::vector<std::pair<uint64_t, KeyHost>> ranked;
   for (const auto& host : routes.hosts) {
-    ranked.emplace_back(
-        steering::RendezvousScore(rank_key, host.id),
-        KeyHost{host.id, host.admin, host.id == routes.self});
+    ranked.emplace_back(steering::RendezvousScore(rank_key, host.id),
+                        KeyHost{host.id, host.admin, host.id == routes.self});
   }
   std::sort(ranked.begin(), ranked.end(),
             [](const auto& a, const auto& b) { return a.first > b.first; });
@@ -124,7 +125,8 @@
 
 std::optional<Choice> Choose(const RequestRoutes& routes,
                              const ServiceRoutes& service,
-                             const DispatchLoad& local_load, LoadTable& loads,
+                             const DispatchLoad& local_load,
+                             LoadTable& loads,
                              std::span<const membership::HostId> avoid,
                              std::mt19937_64& random) {
   auto is_avoided = [&](membership::HostId id) {
--- a/lib/Steering/assignment.cc
+++ b/lib/Steering/assignment.cc
@@ -70,7 +70,8 @@
 
 // Preferences of one bucket, best first.
 std::vector<std::pair<double, uint16_t>> Preferences(
-    uint64_t key, std::span<const Candidate> candidates,
+    uint64_t key,
+    std::span<const Candidate> candidates,
     std::span<const uint32_t> quotas) {
   std::vector<std::pair<double, uint16_t>> ranked;
   for (size_t i = 0; i < candidates.size(); ++i) {
@@ -95,8 +96,7 @@
   auto quotas = Quotas(candidates, buckets);
   std::vector<std::vector<std::pair<double, uint16_t>>> preferences(buckets);
   for (uint32_t b = 0; b < buckets; ++b) {
-    preferences[b] =
-        Preferences(CombineHashes(service, b), candidates, quotas);
+    preferences[b] = Preferences(CombineHashes(service, b), candidates, quotas);
   }
   std::vector<size_t> next(buckets, 0);
   std::vector<std::priority_queue<Offer>> accepted(candidates.size());
--- a/lib/Steering/flow_shard.cc
+++ b/lib/Steering/flow_shard.cc
@@ -178,8 +178,7 @@
     }
     auto& flow = Insert(c, target->id);
     flow.is_counted = true;
-    bool is_plain =
-        target->id == c.bucket.assigned && c.bucket.moving_to == 0;
+    bool is_plain = target->id == c.bucket.assigned && c.bucket.moving_to == 0;
     if (is_plain) {
       return Forward(*target);
     }
@@ -248,7 +247,8 @@
 
 // Passes the packet to the host that decides for the bucket, if that is
 // another one.
-std::optional<Decision> PassOn(const Plan& plan, const Route& route,
+std::optional<Decision> PassOn(const Plan& plan,
+                               const Route& route,
                                const FlowPacket& packet) {
   bool is_owner_ready = IsReady(plan, route.owner) || route.owner == plan.self;
   HostIndex decider = is_owner_ready || !IsReady(plan, route.backup)
@@ -266,7 +266,8 @@
                   .notice = {}};
 }
 
-Decision PassToBackup(const Plan& plan, const Route& route,
+Decision PassToBackup(const Plan& plan,
+                      const Route& route,
                       const FlowPacket& packet) {
   bool can_pass = !packet.is_acting && packet.hops < kMaxHops &&
                   route.backup != plan.self && IsReady(plan, route.backup);
@@ -290,8 +291,11 @@
   }
 }
 
-void MakeHeld(Bucket& bucket, const ServicePlan& service, uint32_t index,
-              bool is_new, Instant now) {
+void MakeHeld(Bucket& bucket,
+              const ServicePlan& service,
+              uint32_t index,
+              bool is_new,
+              Instant now) {
   bucket.phase = BucketPhase::kHeld;
   if (bucket.assigned == 0) {
     bucket.assigned = DesiredTarget(service, index);
@@ -300,8 +304,11 @@
   bucket.settled_at = is_settled ? now : now + service.idle_timeout;
 }
 
-bool UpdateBucket(Bucket& bucket, const ServicePlan& service, uint32_t index,
-                  HostIndex self, Instant now) {
+bool UpdateBucket(Bucket& bucket,
+                  const ServicePlan& service,
+                  uint32_t index,
+                  HostIndex self,
+                  Instant now) {
   const auto& route = service.routes[index];
   bool is_owner = route.owner == self;
   if (!is_owner && route.backup != self) {
@@ -330,7 +337,9 @@
   }
 }
 
-BucketNotice StateOf(const Bucket& bucket, uint64_t service, uint32_t index,
+BucketNotice StateOf(const Bucket& bucket,
+                     uint64_t service,
+                     uint32_t index,
                      Instant now) {
   BucketNotice notice;
   notice.is_idle = bucket.phase == BucketPhase::kHeld && bucket.is_owned &&
@@ -348,7 +357,9 @@
 }
 
 // The flows that stay where they are when the bucket moves.
-BucketNotice MoveNotice(const Bucket& bucket, uint64_t service, uint32_t index,
+BucketNotice MoveNotice(const Bucket& bucket,
+                        uint64_t service,
+                        uint32_t index,
                         UpstreamId moving_to) {
   BucketNotice notice;
   notice.service = service;
@@ -373,7 +384,8 @@
 // notice.
 std::optional<BucketNotice> StartMove(Bucket& bucket,
                                       const ServicePlan& service,
-                                      uint32_t index, Instant now) {
+                                      uint32_t index,
+                                      Instant now) {
   if (!bucket.is_owned || bucket.phase != BucketPhase::kHeld ||
       bucket.moving_to != 0) {
     return std::nullopt;
@@ -409,7 +421,9 @@
   return &it->second.buckets[PositionOf(notice.bucket)];
 }
 
-void RemoveFlow(FlowShard& shard, Bucket& bucket, const ServicePlan* service,
+void RemoveFlow(FlowShard& shard,
+                Bucket& bucket,
+                const ServicePlan* service,
                 uint64_t fingerprint) {
   auto it = bucket.flows.find(fingerprint);
   if (it == bucket.flows.end() || it->second.is_counted) {
@@ -421,8 +435,10 @@
 }
 
 // Ends the bucket's expired flows; returns fingerprints of ended exceptions.
-std::vector<uint64_t> SweepBucket(FlowShard& shard, Bucket& bucket,
-                                  const ServicePlan* service, Instant now) {
+std::vector<uint64_t> SweepBucket(FlowShard& shard,
+                                  Bucket& bucket,
+                                  const ServicePlan* service,
+                                  Instant now) {
   std::vector<uint64_t> ended;
   for (auto it = bucket.flows.begin(); it != bucket.flows.end();) {
     bool is_copy = !it->second.is_counted && !bucket.is_owned &&
@@ -475,8 +491,10 @@
   return bucket % kShards;
 }
 
-Decision Decide(FlowShard& shard, const ServicePlan& service,
-                const FlowPacket& packet, Instant now) {
+Decision Decide(FlowShard& shard,
+                const ServicePlan& service,
+                const FlowPacket& packet,
+                Instant now) {
   const Plan& plan = *shard.plan;
   uint32_t index = BucketOf(packet.fingerprint);
   AssertInvariant(ShardOf(index) == shard.index, "the packet's own shard");
@@ -506,7 +524,8 @@
   return needs_pull;
 }
 
-void OnPullsDone(FlowShard& shard, std::span<const uint64_t> held_by_peers,
+void OnPullsDone(FlowShard& shard,
+                 std::span<const uint64_t> held_by_peers,
                  Instant now) {
   const Plan& plan = *shard.plan;
   for (const auto& service : plan.services) {
@@ -514,9 +533,9 @@
     bool is_held = std::any_of(
         buckets.begin(), buckets.end(),
         [](const Bucket& b) { return b.phase != BucketPhase::kEmpty; });
-    bool is_new = !is_held && std::find(held_by_peers.begin(),
-                                        held_by_peers.end(),
-                                        service->id) == held_by_peers.end();
+    bool is_new =
+        !is_held && std::find(held_by_peers.begin(), held_by_peers.end(),
+                              service->id) == held_by_peers.end();
     if (is_new) {
       shard.services[service->id].new_until = now + kNewServiceTimeout;
     }
@@ -531,7 +550,8 @@
   }
 }
 
-std::vector<BucketNotice> StartMoves(FlowShard& shard, size_t max_bytes,
+std::vector<BucketNotice> StartMoves(FlowShard& shard,
+                                     size_t max_bytes,
                                      Instant now) {
   std::vector<BucketNotice> notices;
   size_t bytes = 0;
@@ -582,8 +602,7 @@
   if (!service || notice.bucket >= kBucketsPerService) {
     return;
   }
-  auto& bucket =
-      BucketsOf(shard, notice.service)[PositionOf(notice.bucket)];
+  auto& bucket = BucketsOf(shard, notice.service)[PositionOf(notice.bucket)];
   if (notice.version > bucket.version || bucket.assigned == 0) {
     bucket.version = std::max(bucket.version, notice.version);
     bucket.assigned = notice.assigned;
@@ -619,13 +638,13 @@
       if (ended.empty() || !buckets[i].is_owned) {
         continue;
       }
-      auto notice = BucketNotice{.service = service_id,
-                                 .bucket = static_cast<uint16_t>(
-                                     BucketAt(shard, i)),
-                                 .version = buckets[i].version,
-                                 .assigned = buckets[i].assigned,
-                                 .added = {},
-                                 .removed = std::move(ended)};
+      auto notice =
+          BucketNotice{.service = service_id,
+                       .bucket = static_cast<uint16_t>(BucketAt(shard, i)),
+                       .version = buckets[i].version,
+                       .assigned = buckets[i].assigned,
+                       .added = {},
+                       .removed = std::move(ended)};
       notices.push_back(std::move(notice));
     }
   }
@@ -633,7 +652,8 @@
 }
 
 std::vector<BucketNotice> ExportFor(const FlowShard& shard,
-                                    membership::HostId host, Instant now) {
+                                    membership::HostId host,
+                                    Instant now) {
   std::vector<BucketNotice> notices;
   if (!shard.plan) {
     return notices;
@@ -663,9 +683,9 @@
 std::vector<uint64_t> HeldServices(const FlowShard& shard, Instant now) {
   std::vector<uint64_t> held;
   for (const auto& [id, service] : shard.services) {
-    bool is_held =
-        std::any_of(service.buckets.begin(), service.buckets.end(),
-                    [](const Bucket& b) { return b.phase != BucketPhase::kEmpty; });
+    bool is_held = std::any_of(
+        service.buckets.begin(), service.buckets.end(),
+        [](const Bucket& b) { return b.phase != BucketPhase::kEmpty; });
     if (is_held && now >= service.new_until) {
       held.push_back(id);
     }
--- a/lib/Steering/plan.cc
+++ b/lib/Steering/plan.cc
@@ -19,8 +19,10 @@
   return std::max(1U, (weight * kScale) >> halvings);
 }
 
-Target MakeTarget(const table::ServiceRow& row, const upstream::Record& record,
-                  const Plan& plan, CellMap& cells) {
+Target MakeTarget(const table::ServiceRow& row,
+                  const upstream::Record& record,
+                  const Plan& plan,
+                  CellMap& cells) {
   Target target;
   auto phase = record.said.phase;
   uint32_t weight = table::WeightOf(row, record.said.failure_domain);
@@ -35,8 +37,7 @@
   if (record.said.connections > 0) {
     full = std::min(full, record.said.connections);
   }
-  target.limit =
-      upstream::LimitAtStep(full, row.limits.cold, record.ramp_step);
+  target.limit = upstream::LimitAtStep(full, row.limits.cold, record.ramp_step);
   auto route =
       RankHosts(plan.hosts, CombineHashes(HashText(row.name), target.id),
                 record.said.failure_domain);
@@ -61,8 +62,7 @@
   const auto& entries = inputs.registry->entries;
   for (auto it = entries.lower_bound({row.name, 0});
        it != entries.end() && it->first.service == row.name; ++it) {
-    service->targets.push_back(
-        MakeTarget(row, it->second.record, plan, cells));
+    service->targets.push_back(MakeTarget(row, it->second.record, plan, cells));
   }
   std::vector<Candidate> candidates;
   for (const auto& target : service->targets) {
@@ -78,7 +78,8 @@
 
 }  // namespace
 
-Route RankHosts(std::span<const PlanHost> hosts, uint64_t key,
+Route RankHosts(std::span<const PlanHost> hosts,
+                uint64_t key,
                 std::string_view failure_domain) {
   Route route;
   uint64_t best = 0;
@@ -102,7 +103,8 @@
   return route;
 }
 
-std::shared_ptr<const Plan> BuildPlan(const PlanInputs& inputs, CellMap& cells,
+std::shared_ptr<const Plan> BuildPlan(const PlanInputs& inputs,
+                                      CellMap& cells,
                                       uint64_t epoch) {
   auto plan = std::make_shared<Plan>();
   plan->epoch = epoch;
@@ -129,8 +131,7 @@
       continue;
     }
     size_t index = plan->services.size();
-    plan->services.push_back(
-        BuildService(row.service, inputs, *plan, cells));
+    plan->services.push_back(BuildService(row.service, inputs, *plan, cells));
     plan->by_address[PackEndpoint(row.service.address)] = index;
     plan->by_id[plan->services.back()->id] = index;
   }
--- a/lib/Upstream/registry.cc
+++ b/lib/Upstream/registry.cc
@@ -98,8 +98,8 @@
   if (!is_new && Precedence(record) <= Precedence(entry.record)) {
     return false;
   }
-  entry.silence_deadline = std::max(entry.silence_deadline,
-                                    now + kSilenceTimeout);
+  entry.silence_deadline =
+      std::max(entry.silence_deadline, now + kSilenceTimeout);
   Store(registry, entry, record, now);
   return true;
 }
@@ -131,8 +131,11 @@
   return is_changed;
 }
 
-bool OnOutcomes(Registry& registry, const Key& key, const Outcomes& seen,
-                uint32_t limit, Instant now) {
+bool OnOutcomes(Registry& registry,
+                const Key& key,
+                const Outcomes& seen,
+                uint32_t limit,
+                Instant now) {
   auto it = registry.entries.find(key);
   if (it == registry.entries.end()) {
     return false;
--- a/lib/Wire/peer_message.cc
+++ b/lib/Wire/peer_message.cc
@@ -50,9 +50,12 @@
     return std::nullopt;
   }
   upstream::Record record;
-  record.said = {from.service(),     UnpackEndpoint(from.endpoint()),
-                 from.failure_domain(), from.slots(),
-                 from.connections(), from.incarnation(),
+  record.said = {from.service(),
+                 UnpackEndpoint(from.endpoint()),
+                 from.failure_domain(),
+                 from.slots(),
+                 from.connections(),
+                 from.incarnation(),
                  static_cast<upstream::Phase>(from.phase())};
   record.sequence = from.sequence();
   record.ramp_step = from.ramp_step();
--- a/test/quickstart/main.cc
+++ b/test/quickstart/main.cc
@@ -13,10 +13,9 @@
 #include "request_load.h"
 #include "upstream_fleet.h"
 
+namespace acaciahold::standins {
 namespace {
 
-using namespace acaciahold;            // NOLINT(google-build-using-namespace)
-using namespace acaciahold::standins;  // NOLINT(google-build-using-namespace)
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -33,9 +32,9 @@
 std::string TableText(const std::string& domains) {
   auto row = [&](const std::string& name, const std::string& kind,
                  const std::string& address, const std::string& limits) {
-    return "  - name: " + name + "\n    kind: " + kind +
-           "\n    address: \"" + address + "\"\n    limits: " + limits +
-           "\n    failure_domains: [" + domains + "]\n";
+    return "  - name: " + name + "\n    kind: " + kind + "\n    address: \"" +
+           address + "\"\n    limits: " + limits + "\n    failure_domains: [" +
+           domains + "]\n";
   };
   return "services:\n" +
          row("stock-feed", "flow", FormatEndpoint(kFeedAddress),
@@ -87,9 +86,7 @@
   return 1;
 }
 
-}  // namespace
-
-int main(int argc, char** argv) {
+int Main(int argc, char** argv) {
   if (argc != 3) {
     std::cerr << "usage: acaciahold_quickstart BINARY FOLDER\n";
     return 2;
@@ -104,8 +101,10 @@
   }
   int code = 1;
   AwaitCondition(
-      [&] { return (code = deployment.ApplyTable(TableText(
-                        "fd1, fd2, fd3, fd4"))) == 0; },
+      [&] {
+        return (code = deployment.ApplyTable(
+                    TableText("fd1, fd2, fd3, fd4"))) == 0;
+      },
       seconds(15));
   if (code != 0 || !deployment.AwaitRevision(1, seconds(8))) {
     return Fail("the table did not come into force");
@@ -139,8 +138,8 @@
   }
 
   lab.AddFlows("stock-feed", kFeedAddress, kFlows, milliseconds(8'000));
-  bool are_open = AwaitCondition(
-      [&] { return lab.Report().open >= kFlows; }, milliseconds(30'000));
+  bool are_open = AwaitCondition([&] { return lab.Report().open >= kFlows; },
+                                 milliseconds(30'000));
   std::cout << "opened " << lab.Report().open << " flows\n";
   if (!are_open) {
     return Fail("not every flow could be opened");
@@ -191,8 +190,9 @@
   std::printf("  packets at a wrong service  %llu, changed on the way %llu\n",
               static_cast<unsigned long long>(report.wrong_service),
               static_cast<unsigned long long>(report.changed));
-  std::printf("  imbalance, peak over mean   open flows %.3f, orders run %.3f\n",
-              flow_imbalance, PeakOverMean(by_upstream));
+  std::printf(
+      "  imbalance, peak over mean   open flows %.3f, orders run %.3f\n",
+      flow_imbalance, PeakOverMean(by_upstream));
   std::printf(
       "  service while fd4 left and returned: %llu orders and %llu returns "
       "answered, %llu refused, %llu otherwise; packets in fd4 after it left "
@@ -222,3 +222,10 @@
   std::cout << (is_good ? "all promises held\n" : "FAILED\n");
   return is_good ? 0 : 1;
 }
+
+}  // namespace
+}  // namespace acaciahold::standins
+
+int main(int argc, char** argv) {
+  return acaciahold::standins::Main(argc, argv);
+}
--- a/test/standins/child.cc
+++ b/test/standins/child.cc
@@ -2,15 +2,15 @@
 
 #include "child.h"
 
+#include <cerrno>
+#include <stdexcept>
+#include <utility>
+
 #include <fcntl.h>
 #include <signal.h>
 #include <spawn.h>
 #include <sys/wait.h>
 
-#include <cerrno>
-#include <stdexcept>
-#include <utility>
-
 extern char** environ;
 
 namespace acaciahold::standins {
@@ -27,8 +27,8 @@
   posix_spawn_file_actions_addopen(&actions, 1, log_path.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0600);
   posix_spawn_file_actions_adddup2(&actions, 1, 2);
-  int code = posix_spawn(&pid_, argv[0], &actions, nullptr, argv.data(),
-                         environ);
+  int code =
+      posix_spawn(&pid_, argv[0], &actions, nullptr, argv.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
   if (code != 0) {
     throw std::runtime_error("can't start " + words[0]);
--- a/test/standins/child.h
+++ b/test/standins/child.h
@@ -3,11 +3,11 @@
 #ifndef ACACIAHOLD_TEST_STANDINS_CHILD_H_
 #define ACACIAHOLD_TEST_STANDINS_CHILD_H_
 
-#include <sys/types.h>
-
 #include <string>
 #include <vector>
 
+#include <sys/types.h>
+
 namespace acaciahold::standins {
 
 class Child {
--- a/test/standins/deployment.cc
+++ b/test/standins/deployment.cc
@@ -2,8 +2,6 @@
 
 #include "deployment.h"
 
-#include <unistd.h>
-
 #include <chrono>
 #include <filesystem>
 #include <fstream>
@@ -12,6 +10,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
+#include <unistd.h>
 
 #include "acaciahold/Http/client.h"
 
@@ -31,20 +30,20 @@
   boost::asio::io_context io;
   http::Client client(io);
   http::FetchResult result;
-  boost::asio::co_spawn(
-      io,
-      client.Fetch(admin, {http::Verb::get, target, 11},
-                   ReadClock() + Duration(kGetTimeout)),
-      [&](std::exception_ptr, http::FetchResult fetched) {
-        result = std::move(fetched);
-      });
+  boost::asio::co_spawn(io,
+                        client.Fetch(admin, {http::Verb::get, target, 11},
+                                     ReadClock() + Duration(kGetTimeout)),
+                        [&](std::exception_ptr, http::FetchResult fetched) {
+                          result = std::move(fetched);
+                        });
   io.run();
   return result;
 }
 
 }  // namespace
 
-Deployment::Deployment(std::string binary, std::string folder,
+Deployment::Deployment(std::string binary,
+                       std::string folder,
                        const Layout& layout)
     : binary_(std::move(binary)),
       folder_(std::move(folder)),
@@ -77,8 +76,7 @@
   for (auto& host : controls_) {
     std::filesystem::create_directories(host.data_folder);
     WriteControlSettings(host);
-    RunChild({binary_, "init", "--config", host.config},
-             folder_ + "/init.log");
+    RunChild({binary_, "init", "--config", host.config}, folder_ + "/init.log");
   }
 }
 
@@ -86,7 +84,8 @@
   return "fd" + std::to_string(i + 1);
 }
 
-Endpoint Deployment::StandinAddress(int group, int number,
+Endpoint Deployment::StandinAddress(int group,
+                                    int number,
                                     uint16_t port) const {
   uint32_t address = (127U << 24U) | (uint32_t{second_byte_} << 16U) |
                      (static_cast<uint32_t>(group) << 8U) |
@@ -196,7 +195,8 @@
       timeout);
 }
 
-bool Deployment::AwaitSettled(size_t upstreams, size_t hosts,
+bool Deployment::AwaitSettled(size_t upstreams,
+                              size_t hosts,
                               std::chrono::seconds timeout) {
   return AwaitCondition(
       [&] {
--- a/test/standins/flow_lab.cc
+++ b/test/standins/flow_lab.cc
@@ -38,7 +38,8 @@
 
 }  // namespace
 
-std::vector<std::byte> BuildTcp(Endpoint caller, Endpoint service,
+std::vector<std::byte> BuildTcp(Endpoint caller,
+                                Endpoint service,
                                 bool is_syn) {
   Tins::TCP tcp(service.port, caller.port);
   tcp.flags(is_syn ? Tins::TCP::SYN : Tins::TCP::ACK);
@@ -55,7 +56,8 @@
                    Tins::RawPDU("line up"));
 }
 
-FlowLab::FlowLab(std::vector<Endpoint> entry_packets, Endpoint fabric,
+FlowLab::FlowLab(std::vector<Endpoint> entry_packets,
+                 Endpoint fabric,
                  uint64_t seed)
     : timer_(io_), random_(seed), entries_(std::move(entry_packets)) {
   fabric_ = Bind(io_, fabric);
@@ -85,8 +87,10 @@
   });
 }
 
-void FlowLab::AddFlows(const std::string& service_name, Endpoint service,
-                       int count, std::chrono::milliseconds over) {
+void FlowLab::AddFlows(const std::string& service_name,
+                       Endpoint service,
+                       int count,
+                       std::chrono::milliseconds over) {
   std::lock_guard lock(mutex_);
   Instant now = ReadClock();
   for (int i = 0; i < count; ++i) {
@@ -117,9 +121,8 @@
 void FlowLab::GiveUpDomain(const std::string& failure_domain) {
   std::lock_guard lock(mutex_);
   for (auto& flow : flows_) {
-    bool is_there =
-        flow.home >= 0 && !flow.is_ended &&
-        upstreams_[flow.home].failure_domain == failure_domain;
+    bool is_there = flow.home >= 0 && !flow.is_ended &&
+                    upstreams_[flow.home].failure_domain == failure_domain;
     if (is_there) {
       flow.is_given_up = true;
       ++report_.given_up;
@@ -140,8 +143,9 @@
   std::lock_guard lock(mutex_);
   FlowReport report = report_;
   for (const auto& upstream : upstreams_) {
-    report.open_by_upstream[upstream.service_name]
-                           [FormatEndpoint(upstream.at)] = 0;
+    report
+        .open_by_upstream[upstream.service_name][FormatEndpoint(upstream.at)] =
+        0;
   }
   for (const auto& flow : flows_) {
     if (flow.home < 0 || flow.is_ended || flow.is_given_up) {
@@ -149,8 +153,8 @@
     }
     ++report.open;
     const auto& upstream = upstreams_[flow.home];
-    ++report.open_by_upstream[upstream.service_name]
-                             [FormatEndpoint(upstream.at)];
+    ++report
+          .open_by_upstream[upstream.service_name][FormatEndpoint(upstream.at)];
   }
   return report;
 }
@@ -182,7 +186,8 @@
       continue;
     }
     bool is_open = flow.home >= 0;
-    if (is_open && !flow.is_given_up && now >= flow.arrived_at + Duration(kStallTimeout)) {
+    if (is_open && !flow.is_given_up &&
+        now >= flow.arrived_at + Duration(kStallTimeout)) {
       End(flow, report_.broken_stalled);
       continue;
     }
--- a/test/standins/flow_lab.h
+++ b/test/standins/flow_lab.h
@@ -54,9 +54,7 @@
 
 class FlowLab {
  public:
-  FlowLab(std::vector<Endpoint> entry_packets,
-          Endpoint fabric,
-          uint64_t seed);
+  FlowLab(std::vector<Endpoint> entry_packets, Endpoint fabric, uint64_t seed);
   ~FlowLab();
 
   void AddUpstream(const LabUpstream& upstream);
--- a/test/standins/request_load.cc
+++ b/test/standins/request_load.cc
@@ -36,7 +36,8 @@
 
 }  // namespace
 
-RequestLoad::RequestLoad(std::vector<Endpoint> entries, std::string path,
+RequestLoad::RequestLoad(std::vector<Endpoint> entries,
+                         std::string path,
                          uint64_t seed)
     : entries_(std::move(entries)),
       path_(std::move(path)),
@@ -53,7 +54,8 @@
   thread_.join();
 }
 
-void RequestLoad::Start(double per_second, std::chrono::milliseconds duration,
+void RequestLoad::Start(double per_second,
+                        std::chrono::milliseconds duration,
                         bool has_keys) {
   is_sending_ = true;
   asio::co_spawn(io_, SendAll(per_second, duration, has_keys), asio::detached);
@@ -100,7 +102,8 @@
   is_sending_ = false;
 }
 
-asio::awaitable<void> RequestLoad::SendOne(Endpoint entry, std::string body,
+asio::awaitable<void> RequestLoad::SendOne(Endpoint entry,
+                                           std::string body,
                                            bool has_key) {
   http::Request request(http::Verb::post, path_, 11);
   request.set(http::Field::content_type, "text/plain");
@@ -109,8 +112,8 @@
   }
   request.body() = body;
   auto start = std::chrono::steady_clock::now();
-  auto result = co_await client_.Fetch(
-      entry, std::move(request), ReadClock() + Duration(kOrderTimeout));
+  auto result = co_await client_.Fetch(entry, std::move(request),
+                                       ReadClock() + Duration(kOrderTimeout));
   Order order;
   order.end = Judge(result, body);
   order.latency = std::chrono::duration_cast<std::chrono::microseconds>(
--- a/test/standins/request_load.h
+++ b/test/standins/request_load.h
@@ -23,11 +23,11 @@
 
 enum class OrderEnd {
   kAnswered,
-  kRefused,     // The system says that it did not run.
-  kUnknown,     // The system says that it may have run.
-  kNoAnswer,    // The entry host was lost.
-  kOther,       // Another status.
-  kWrongAnswer, // An answer that is not this order's, or not whole.
+  kRefused,      // The system says that it did not run.
+  kUnknown,      // The system says that it may have run.
+  kNoAnswer,     // The entry host was lost.
+  kOther,        // Another status.
+  kWrongAnswer,  // An answer that is not this order's, or not whole.
 };
 
 struct Order {
@@ -42,7 +42,8 @@
   ~RequestLoad();
 
   // Sends at the rate until the time is over or Stop; does not wait.
-  void Start(double per_second, std::chrono::milliseconds duration,
+  void Start(double per_second,
+             std::chrono::milliseconds duration,
              bool has_keys);
   void Stop();
 
@@ -55,7 +56,8 @@
   boost::asio::awaitable<void> SendAll(double per_second,
                                        std::chrono::milliseconds duration,
                                        bool has_keys);
-  boost::asio::awaitable<void> SendOne(Endpoint entry, std::string body,
+  boost::asio::awaitable<void> SendOne(Endpoint entry,
+                                       std::string body,
                                        bool has_key);
 
   std::vector<Endpoint> entries_;
--- a/test/standins/upstream_fleet.cc
+++ b/test/standins/upstream_fleet.cc
@@ -69,7 +69,8 @@
 }  // namespace
 
 UpstreamFleet::UpstreamFleet(
-    std::map<std::string, std::vector<Endpoint>> announce_to, int threads)
+    std::map<std::string, std::vector<Endpoint>> announce_to,
+    int threads)
     : announce_to_(std::move(announce_to)), client_(io_) {
   for (int i = 0; i < threads; ++i) {
     threads_.emplace_back([this] {
@@ -120,8 +121,7 @@
 
 void UpstreamFleet::Restart(size_t i, bool announced) {
   std::lock_guard lock(nodes_[i]->mutex);
-  nodes_[i]->warm_at =
-      ReadClock() + Duration(nodes_[i]->options.cold_time);
+  nodes_[i]->warm_at = ReadClock() + Duration(nodes_[i]->options.cold_time);
   if (announced) {
     nodes_[i]->incarnation = NewIncarnation();
   }
@@ -153,12 +153,13 @@
 }
 
 asio::awaitable<http::Response> UpstreamFleet::Answer(
-    std::shared_ptr<Node> node, http::Request request) {
+    std::shared_ptr<Node> node,
+    http::Request request) {
   bool is_beyond = false;
   {
     std::lock_guard lock(node->mutex);
-    uint32_t bears = ReadClock() < node->warm_at ? node->options.cold
-                                                 : node->options.slots;
+    uint32_t bears =
+        ReadClock() < node->warm_at ? node->options.cold : node->options.slots;
     is_beyond = node->busy >= bears;
     if (!is_beyond) {
       ++node->busy;
@@ -186,8 +187,8 @@
   timer.expires_after(node->options.service_time);
   co_await timer.async_wait(kToken);
   running.SetDone();
-  auto answer = http::MakeResponse(http::Status::ok,
-                                   "done: " + request.body(), "text/plain");
+  auto answer = http::MakeResponse(http::Status::ok, "done: " + request.body(),
+                                   "text/plain");
   auto attempt = request.find(http::kAttemptHeader);
   if (attempt != request.end()) {
     answer.set(http::kAttemptHeader, attempt->value());
--- a/tools/acaciahold/main.cc
+++ b/tools/acaciahold/main.cc
@@ -1,8 +1,6 @@
 // The acaciahold command: reads its words, runs a host or an operators'
 // command, and turns the outcome into an exit code.
 
-#include <unistd.h>
-
 #include <fstream>
 #include <iostream>
 #include <random>
@@ -11,16 +9,16 @@
 
 #include <glog/logging.h>
 #include <popt.h>
+#include <unistd.h>
 
 #include "acaciahold/Config/settings.h"
 #include "acaciahold/Host/host.h"
 #include "acaciahold/Operator/commands.h"
 #include "acaciahold/Storage/data_folder.h"
 
+namespace acaciahold {
 namespace {
 
-using namespace acaciahold;  // NOLINT(google-build-using-namespace)
-
 constexpr const char* kVersion = "acaciahold 0.1.0";
 
 constexpr const char* kUsage =
@@ -105,8 +103,7 @@
   int code = poptGetNextOpt(context);
   std::string fault;
   if (code < -1) {
-    fault = std::string(poptBadOption(context, 0)) + ": " +
-            poptStrerror(code);
+    fault = std::string(poptBadOption(context, 0)) + ": " + poptStrerror(code);
   }
   while (const char* word = poptGetArg(context)) {
     words.commands.emplace_back(word);
@@ -227,8 +224,8 @@
     return std::nullopt;
   }
   const char* user = std::getenv("USER");
-  options.author = words.author.empty() ? (user ? user : "operator")
-                                        : words.author;
+  options.author =
+      words.author.empty() ? (user ? user : "operator") : words.author;
   options.edit_id = words.edit_id;
   options.min_revision = static_cast<uint64_t>(words.min_revision);
   options.is_json = words.is_json;
@@ -298,11 +295,10 @@
   return op::ShowStatus(*options);
 }
 
-}  // namespace
-
-int main(int argc, char** argv) {
+// The whole command; returns the exit code.
+int Main(int argc, const char** argv) {
   Words words;
-  if (auto code = ParseWords(argc, const_cast<const char**>(argv), words)) {
+  if (auto code = ParseWords(argc, argv, words)) {
     return *code;
   }
   if (words.wants_version) {
@@ -319,3 +315,10 @@
   }
   return RunCommand(words);
 }
+
+}  // namespace
+}  // namespace acaciahold
+
+int main(int argc, char** argv) {
+  return acaciahold::Main(argc, const_cast<const char**>(argv));
+}
--- a/unittests/Admission/share_test.cc
+++ b/unittests/Admission/share_test.cc
@@ -1,6 +1,8 @@
 // Tests of shares: whatever is lost, repeated or reordered, the open flows of
 // all hosts together never pass the limit.
 
+#include "acaciahold/Admission/share.h"
+
 #include <map>
 #include <random>
 
@@ -8,10 +10,8 @@
 
 #include "../check_property.h"
 #include "acaciahold/Admission/ledger.h"
-#include "acaciahold/Admission/share.h"
 
-using namespace acaciahold;
-using namespace acaciahold::admission;
+namespace acaciahold::admission {
 
 namespace {
 
@@ -77,8 +77,8 @@
     if (!host.is_up || !IsReportDue(host.share, host.cell, now_)) {
       return;
     }
-    auto report = MakeReport(host.share, host.cell,
-                             Headroom(limit_, kHosts), now_);
+    auto report =
+        MakeReport(host.share, host.cell, Headroom(limit_, kHosts), now_);
     Post(i, report, Coordinator());
     if (HasBackup() && host.share.recorded != host.share.held) {
       Post(i, MakeRecord(host.share, host.cell), 1);
@@ -108,10 +108,10 @@
       return;
     }
     auto& ledger = ledgers_[flight.to];
-    auto grant = flight.report.is_record
-                     ? OnRecord(ledger, flight.report, now_ + kIdle, now_)
-                     : OnReport(ledger, flight.report, limit_, now_ + kIdle,
-                                now_);
+    auto grant =
+        flight.report.is_record
+            ? OnRecord(ledger, flight.report, now_ + kIdle, now_)
+            : OnReport(ledger, flight.report, limit_, now_ + kIdle, now_);
     size_t from = flight.report.host - 1;
     if (hosts_[from].incarnation == flight.report.incarnation) {
       network_.push_back({true, from, {}, grant});
@@ -156,9 +156,8 @@
     host.cell.lease_deadline = 0;
     ++host.incarnation;
     SetBackup(host.share, host.cell, HasBackup());
-    std::erase_if(network_, [&](const Flight& f) {
-      return f.is_grant && f.to == i;
-    });
+    std::erase_if(network_,
+                  [&](const Flight& f) { return f.is_grant && f.to == i; });
   }
 
   // Every flow that lives sends a packet within the idle timeout, and is then
@@ -271,3 +270,5 @@
   OnGrant(share, cell, {0, 0, 0, early, 100, false, false});
   BOOST_TEST(!TryAdmit(cell, now));
 }
+
+}  // namespace acaciahold::admission
--- a/unittests/Config/settings_test.cc
+++ b/unittests/Config/settings_test.cc
@@ -1,14 +1,13 @@
 // Tests of the settings file's faults.
 
+#include "acaciahold/Config/settings.h"
+
 #include <filesystem>
 #include <fstream>
 
 #include <boost/test/unit_test.hpp>
 
-#include "acaciahold/Config/settings.h"
-
-using namespace acaciahold;
-using namespace acaciahold::config;
+namespace acaciahold::config {
 
 namespace {
 
@@ -34,7 +33,8 @@
   return file->faults;
 }
 
-std::string Replace(std::string text, const std::string& from,
+std::string Replace(std::string text,
+                    const std::string& from,
                     const std::string& to) {
   return text.replace(text.find(from), from.size(), to);
 }
@@ -83,3 +83,5 @@
   BOOST_REQUIRE(faults.size() == 1U);
   BOOST_TEST(faults[0].field == "entry_hosts[1].name");
 }
+
+}  // namespace acaciahold::config
--- a/unittests/Consensus/cluster.cc
+++ b/unittests/Consensus/cluster.cc
@@ -179,20 +179,20 @@
       continue;
     }
     node.applied.push_back(entry.payload);
-    history_.push_back({EventKind::kApplied, node.id, node.life, entry.index,
-                        entry.payload});
+    history_.push_back(
+        {EventKind::kApplied, node.id, node.life, entry.index, entry.payload});
     auto it = waiting_.find({node.id, entry.index, entry.term});
     if (it != waiting_.end()) {
       ++accepted_;
-      history_.push_back({EventKind::kAccepted, node.id, node.life,
-                          entry.index, it->second});
+      history_.push_back(
+          {EventKind::kAccepted, node.id, node.life, entry.index, it->second});
       waiting_.erase(it);
     }
   }
   auto& replica = *node.replica;
   if (replica.role == Role::kLeader) {
-    history_.push_back({EventKind::kBecameLeader, node.id, node.life,
-                        replica.hard.term, ""});
+    history_.push_back(
+        {EventKind::kBecameLeader, node.id, node.life, replica.hard.term, ""});
   }
   if (replica.applied >= replica.snapshot.index + kCommandsPerSnapshot) {
     Carry(node, Compact(replica, "snapshot"));
--- a/unittests/Consensus/replica_test.cc
+++ b/unittests/Consensus/replica_test.cc
@@ -5,8 +5,7 @@
 #include "../check_property.h"
 #include "cluster.h"
 
-using namespace acaciahold;
-using namespace acaciahold::consensus;
+namespace acaciahold::consensus {
 
 namespace {
 
@@ -158,3 +157,5 @@
   BOOST_CHECK(Propose(replica, "edit", now).status ==
               ProposeStatus::kNotLeader);
 }
+
+}  // namespace acaciahold::consensus
--- a/unittests/Membership/membership_test.cc
+++ b/unittests/Membership/membership_test.cc
@@ -1,6 +1,8 @@
 // Tests of membership: hosts in one process, exchanging probes over a network
 // that can lose messages and be cut.
 
+#include "acaciahold/Membership/membership.h"
+
 #include <deque>
 #include <random>
 #include <set>
@@ -8,10 +10,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include "../check_property.h"
-#include "acaciahold/Membership/membership.h"
 
-using namespace acaciahold;
-using namespace acaciahold::membership;
+namespace acaciahold::membership {
 
 namespace {
 
@@ -110,8 +110,8 @@
                      cut.contains(it.from) != cut.contains(it.to) ||
                      chance(random_) < loss;
       if (!is_lost) {
-        Carry(it.to, OnProbe(hosts_[it.to], it.probe,
-                             hosts_[it.from].self.peer, now_));
+        Carry(it.to, OnProbe(hosts_[it.to], it.probe, hosts_[it.from].self.peer,
+                             now_));
       }
     }
   }
@@ -195,3 +195,5 @@
   Learn(network.host(0), {&earlier, 1}, network.now());
   BOOST_TEST(network.host(0).self.incarnation == 901U);
 }
+
+}  // namespace acaciahold::membership
--- a/unittests/Packet/inner_packet_test.cc
+++ b/unittests/Packet/inner_packet_test.cc
@@ -1,5 +1,7 @@
 // Tests of inner packets: what is read, what is refused, and random bytes.
 
+#include "acaciahold/Packet/inner_packet.h"
+
 #include <boost/test/unit_test.hpp>
 #include <tins/ip.h>
 #include <tins/rawpdu.h>
@@ -7,10 +9,8 @@
 #include <tins/udp.h>
 
 #include "../check_property.h"
-#include "acaciahold/Packet/inner_packet.h"
 
-using namespace acaciahold;
-using namespace acaciahold::packet;
+namespace acaciahold::packet {
 
 namespace {
 
@@ -71,8 +71,7 @@
 
 BOOST_AUTO_TEST_CASE(RefusesWithAReset) {
   auto refusal = BuildRefusal(Bytes(Syn()));
-  Tins::IP ip(reinterpret_cast<const uint8_t*>(refusal.data()),
-              refusal.size());
+  Tins::IP ip(reinterpret_cast<const uint8_t*>(refusal.data()), refusal.size());
   const auto* tcp = ip.find_pdu<Tins::TCP>();
   BOOST_REQUIRE(tcp);
   BOOST_TEST(ip.src_addr().to_string() == "10.9.0.1");
@@ -100,3 +99,5 @@
     BuildRefusal(headed);
   });
 }
+
+}  // namespace acaciahold::packet
--- a/unittests/Request/request_test.cc
+++ b/unittests/Request/request_test.cc
@@ -1,14 +1,14 @@
 // Tests of the request's state machine, the dispatcher and the key table.
 
+#include "acaciahold/Request/request.h"
+
 #include <boost/test/unit_test.hpp>
 
 #include "../check_property.h"
 #include "acaciahold/Request/dispatcher.h"
 #include "acaciahold/Request/key_table.h"
-#include "acaciahold/Request/request.h"
 
-using namespace acaciahold;
-using namespace acaciahold::request;
+namespace acaciahold::request {
 
 namespace {
 
@@ -28,51 +28,53 @@
 }  // namespace
 
 BOOST_AUTO_TEST_CASE(ARequestThatMayHaveRunIsNeverCalledRefused) {
-  CheckProperty(71, 20'000, [](bool is_idempotent,
-                               std::vector<uint8_t> events) {
-    auto request = MakeRequest(is_idempotent, kLate);
-    RetryBudget budget;
-    bool may_have_run = false;
-    int sent_after_that = 0;
-    uint32_t attempt = 0;
-    for (uint8_t event : events) {
-      if (IsFinal(request)) {
-        break;
-      }
-      if (request.state == State::kWaiting) {
-        sent_after_that += may_have_run;
-        attempt = Dispatch(request, budget, event);
-        continue;
-      }
-      switch (event % 6) {
-        case 0:
-          OnAttemptEnd(request, budget, attempt, AttemptEnd::kAnswer, kNow);
-          break;
-        case 1:
-          OnAttemptEnd(request, budget, attempt, AttemptEnd::kShed, kNow);
-          break;
-        case 2:
-          OnAttemptEnd(request, budget, attempt, AttemptEnd::kNotSent, kNow);
-          break;
-        case 3:
-          may_have_run = true;
-          OnAttemptEnd(request, budget, attempt, AttemptEnd::kNoAnswer, kNow);
-          break;
-        case 4:
-          OnAttemptEnd(request, budget, attempt - 1, AttemptEnd::kAnswer,
-                       kNow);
-          break;
-        default:
-          may_have_run = true;
-          OnDeadline(request);
-      }
-    }
-    GiveUp(request, Refusal::kOverloaded);
-    RC_ASSERT(IsFinal(request));
-    RC_ASSERT(!(may_have_run && request.state == State::kRefused));
-    RC_ASSERT(is_idempotent || sent_after_that == 0);
-    RC_ASSERT(request.attempt <= kMaxAttempts);
-  });
+  CheckProperty(
+      71, 20'000, [](bool is_idempotent, std::vector<uint8_t> events) {
+        auto request = MakeRequest(is_idempotent, kLate);
+        RetryBudget budget;
+        bool may_have_run = false;
+        int sent_after_that = 0;
+        uint32_t attempt = 0;
+        for (uint8_t event : events) {
+          if (IsFinal(request)) {
+            break;
+          }
+          if (request.state == State::kWaiting) {
+            sent_after_that += may_have_run;
+            attempt = Dispatch(request, budget, event);
+            continue;
+          }
+          switch (event % 6) {
+            case 0:
+              OnAttemptEnd(request, budget, attempt, AttemptEnd::kAnswer, kNow);
+              break;
+            case 1:
+              OnAttemptEnd(request, budget, attempt, AttemptEnd::kShed, kNow);
+              break;
+            case 2:
+              OnAttemptEnd(request, budget, attempt, AttemptEnd::kNotSent,
+                           kNow);
+              break;
+            case 3:
+              may_have_run = true;
+              OnAttemptEnd(request, budget, attempt, AttemptEnd::kNoAnswer,
+                           kNow);
+              break;
+            case 4:
+              OnAttemptEnd(request, budget, attempt - 1, AttemptEnd::kAnswer,
+                           kNow);
+              break;
+            default:
+              may_have_run = true;
+              OnDeadline(request);
+          }
+        }
+        GiveUp(request, Refusal::kOverloaded);
+        RC_ASSERT(IsFinal(request));
+        RC_ASSERT(!(may_have_run && request.state == State::kRefused));
+        RC_ASSERT(is_idempotent || sent_after_that == 0);
+        RC_ASSERT(request.attempt <= kMaxAttempts);
+      });
 }
 
 BOOST_AUTO_TEST_CASE(ALateAnswerOfAnAbandonedAttemptCountsForNothing) {
@@ -90,8 +92,8 @@
 BOOST_AUTO_TEST_CASE(RetriesEndWithTheBudgetAndTheDeadline) {
   RetryBudget budget{0};
   auto request = MakeRequest(true, kLate);
-  OnAttemptEnd(request, budget, Dispatch(request, budget, 1),
-               AttemptEnd::kShed, kNow);
+  OnAttemptEnd(request, budget, Dispatch(request, budget, 1), AttemptEnd::kShed,
+               kNow);
   BOOST_CHECK(request.refusal == Refusal::kRetryBudget);
   budget.tokens = 5;
   auto late = MakeRequest(true, kNow);
@@ -185,3 +187,5 @@
   BOOST_CHECK(BeginKey(table, "k2999", 1, kNow).verdict ==
               KeyVerdict::kAnswered);
 }
+
+}  // namespace acaciahold::request
--- a/unittests/Steering/assignment_test.cc
+++ b/unittests/Steering/assignment_test.cc
@@ -1,15 +1,15 @@
 // Tests of bucket assignment: even by weight, and few buckets move.
 
+#include "acaciahold/Steering/assignment.h"
+
 #include <algorithm>
 #include <map>
 
 #include <boost/test/unit_test.hpp>
 
 #include "../check_property.h"
-#include "acaciahold/Steering/assignment.h"
 
-using namespace acaciahold;
-using namespace acaciahold::steering;
+namespace acaciahold::steering {
 
 namespace {
 
@@ -88,3 +88,5 @@
   std::reverse(reversed.begin(), reversed.end());
   BOOST_TEST(Moved(candidates, reversed) == 0);
 }
+
+}  // namespace acaciahold::steering
--- a/unittests/Storage/data_folder_test.cc
+++ b/unittests/Storage/data_folder_test.cc
@@ -1,15 +1,15 @@
 // Tests of the data folder: what survives, what is cut, what is refused.
 
+#include "acaciahold/Storage/data_folder.h"
+
 #include <filesystem>
 #include <fstream>
 
 #include <boost/test/unit_test.hpp>
 
-#include "acaciahold/Storage/data_folder.h"
 #include "acaciahold/Storage/record.h"
 
-using namespace acaciahold;
-using namespace acaciahold::storage;
+namespace acaciahold::storage {
 using consensus::EntryKind;
 using consensus::LogEntry;
 using consensus::Persist;
@@ -24,7 +24,8 @@
                  .string()) {
     std::filesystem::remove_all(path);
     std::filesystem::create_directories(path);
-    BOOST_REQUIRE(bool(DataFolder::Initialize(path, 2, 77, {{2, {1, 1}, true, 0}})));
+    BOOST_REQUIRE(
+        bool(DataFolder::Initialize(path, 2, 77, {{2, {1, 1}, true, 0}})));
   }
   ~Fixture() { std::filesystem::remove_all(path); }
 
@@ -119,8 +120,7 @@
   auto text = OpenError();
   BOOST_TEST(text.find(path + "/log") != std::string::npos);
   BOOST_TEST(text.find("offset 8") != std::string::npos);
-  BOOST_TEST(text.find("join this host as a new replica") !=
-             std::string::npos);
+  BOOST_TEST(text.find("join this host as a new replica") != std::string::npos);
 }
 
 BOOST_FIXTURE_TEST_CASE(RefusesAnUnknownFormat, Fixture) {
@@ -143,3 +143,5 @@
 BOOST_FIXTURE_TEST_CASE(NeverInitializesTwice, Fixture) {
   BOOST_TEST(!DataFolder::Initialize(path, 3, 1, {}));
 }
+
+}  // namespace acaciahold::storage
--- a/unittests/Support/address_test.cc
+++ b/unittests/Support/address_test.cc
@@ -1,10 +1,10 @@
 // Tests of endpoint parsing.
 
-#include <boost/test/unit_test.hpp>
-
 #include "acaciahold/Support/address.h"
 
-using namespace acaciahold;
+#include <boost/test/unit_test.hpp>
+
+namespace acaciahold {
 
 BOOST_AUTO_TEST_CASE(ParsesWhatItFormats) {
   auto endpoint = ParseEndpoint("10.0.0.1:7000");
@@ -19,3 +19,5 @@
     BOOST_TEST(!ParseEndpoint(text), text);
   }
 }
+
+}  // namespace acaciahold
--- a/unittests/Table/service_table_test.cc
+++ b/unittests/Table/service_table_test.cc
@@ -1,14 +1,14 @@
 // Tests of the table's rules and of edits.
 
+#include "acaciahold/Table/service_table.h"
+
 #include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include "acaciahold/Table/service_table.h"
 #include "acaciahold/Table/table_json.h"
 #include "acaciahold/Table/table_yaml.h"
 
-using namespace acaciahold;
-using namespace acaciahold::table;
+namespace acaciahold::table {
 
 namespace {
 
@@ -89,8 +89,8 @@
   TableState state;
   ApplyEdit(state, Put("e1", 0, Row("feed", 1)));
   ApplyEdit(state, Put("e2", 0, Row("feed", 2)));
-  auto copy = StateFromJson(
-      boost::json::parse(boost::json::serialize(ToJson(state))));
+  auto copy =
+      StateFromJson(boost::json::parse(boost::json::serialize(ToJson(state))));
   BOOST_REQUIRE(bool(copy));
   BOOST_CHECK(copy->table == state.table);
   BOOST_TEST(copy->history.size() == state.history.size());
@@ -125,3 +125,5 @@
   BOOST_TEST(file->faults[1].line == 5);
   BOOST_TEST(file->faults[1].field == "services[0].limits.slots");
 }
+
+}  // namespace acaciahold::table
--- a/unittests/Upstream/registry_test.cc
+++ b/unittests/Upstream/registry_test.cc
@@ -1,12 +1,12 @@
 // Tests of what is believed of upstreams.
 
+#include "acaciahold/Upstream/registry.h"
+
 #include <boost/test/unit_test.hpp>
 
 #include "../check_property.h"
-#include "acaciahold/Upstream/registry.h"
 
-using namespace acaciahold;
-using namespace acaciahold::upstream;
+namespace acaciahold::upstream {
 
 namespace {
 
@@ -81,7 +81,8 @@
   Registry registry;
   OnAnnouncement(registry, Said(1), kStart);
   Instant late = kStart + kSilenceTimeout;
-  BOOST_TEST(!CheckSilence(registry, [](const Key&) { return false; }, late));
+  BOOST_TEST(!CheckSilence(
+      registry, [](const Key&) { return false; }, late));
   BOOST_TEST(CheckSilence(registry, Mine, late));
   BOOST_CHECK(registry.entries.at(kKey).record.said.phase == Phase::kSilent);
   BOOST_TEST(OnAnnouncement(registry, Said(1), late));
@@ -97,24 +98,24 @@
 }
 
 BOOST_AUTO_TEST_CASE(HostsAgreeWhateverTheOrderOfNews) {
-  CheckProperty(12, 2'000, [](std::vector<std::tuple<uint8_t, uint8_t, uint8_t>>
-                                  steps) {
-    std::vector<Record> records;
-    for (auto [incarnation, sequence, phase] : steps) {
-      records.push_back({Said(1 + incarnation % 4,
-                              static_cast<Phase>(phase % 4)),
-                         sequence % 4U, 0});
-    }
-    Registry a;
-    Registry b;
-    for (const auto& record : records) {
-      Merge(a, record, kStart);
-    }
-    for (auto it = records.rbegin(); it != records.rend(); ++it) {
-      Merge(b, *it, kStart);
-    }
-    RC_ASSERT(a.digest == b.digest);
-  });
+  CheckProperty(
+      12, 2'000, [](std::vector<std::tuple<uint8_t, uint8_t, uint8_t>> steps) {
+        std::vector<Record> records;
+        for (auto [incarnation, sequence, phase] : steps) {
+          records.push_back(
+              {Said(1 + incarnation % 4, static_cast<Phase>(phase % 4)),
+               sequence % 4U, 0});
+        }
+        Registry a;
+        Registry b;
+        for (const auto& record : records) {
+          Merge(a, record, kStart);
+        }
+        for (auto it = records.rbegin(); it != records.rend(); ++it) {
+          Merge(b, *it, kStart);
+        }
+        RC_ASSERT(a.digest == b.digest);
+      });
 }
 
 BOOST_AUTO_TEST_CASE(LimitsRiseFromTheColdLimit) {
@@ -124,3 +125,5 @@
   BOOST_TEST(LimitAtStep(3, 1, 1) == 1U);
   BOOST_TEST(LimitAtStep(3, 5, 0) == 3U);
 }
+
+}  // namespace acaciahold::upstream
--- a/unittests/Wire/peer_message_test.cc
+++ b/unittests/Wire/peer_message_test.cc
@@ -1,13 +1,13 @@
 // Tests of the messages between hosts: what is written is read, and no bytes
 // do harm.
 
+#include "acaciahold/Wire/peer_message.h"
+
 #include <boost/test/unit_test.hpp>
 
 #include "../check_property.h"
-#include "acaciahold/Wire/peer_message.h"
 
-using namespace acaciahold;
-using namespace acaciahold::wire;
+namespace acaciahold::wire {
 
 namespace {
 
@@ -24,10 +24,9 @@
   gossip.probe.kind = membership::ProbeKind::kPingRequest;
   gossip.probe.from = 5;
   gossip.probe.sequence = 9;
-  gossip.probe.updates = {
-      {{7, "entry-7", "fd2", {1, 2}, {3, 4}, 11},
-       membership::MemberState::kSuspect,
-       3}};
+  gossip.probe.updates = {{{7, "entry-7", "fd2", {1, 2}, {3, 4}, 11},
+                           membership::MemberState::kSuspect,
+                           3}};
   gossip.table_revision = 12;
   gossip.upstreams = {
       {{"orders", {9, 80}, "fd1", 3, 0, 4, upstream::Phase::kDraining}, 6, 2}};
@@ -104,3 +103,5 @@
     Decode(std::as_bytes(std::span(bytes)), storage);
   });
 }
+
+}  // namespace acaciahold::wire
--- a/unittests/check_property.h
+++ b/unittests/check_property.h
@@ -16,8 +16,8 @@
   rc::detail::TestParams params;
   params.seed = seed;
   params.maxSuccess = cases;
-  auto result = rc::detail::checkTestable(property, rc::detail::TestMetadata(),
-                                          params);
+  auto result =
+      rc::detail::checkTestable(property, rc::detail::TestMetadata(), params);
   std::ostringstream text;
   rc::detail::printResultMessage(result, text);
   bool is_success = result.template is<rc::detail::SuccessResult>();
