Place new flows by load, and renew unchanged shares together

Change: a new flow goes to the least loaded upstream where its bucket's is clearly above the mean or can't take it; shares that both sides know alike are renewed by one digest for each coordinator. Ruled out on the way: renewals that are due but have no renewable share must still move their deadline; without that every tick reported all shares.

--- a/include/acaciahold/Admission/ledger.h
+++ b/include/acaciahold/Admission/ledger.h
@@ -18,7 +18,9 @@
   uint64_t incarnation = 0;
   uint64_t sequence = 0;
   uint32_t amount = 0;  // Held, or open where that is more.
+  uint32_t held = 0;    // As granted last.
   Instant heard_at;
+  bool is_frozen = false;  // Silent too long; only a report revives it.
 };
 
 // A share of a host that is gone or restarted. Its flows live on at other
@@ -48,6 +50,11 @@
                     Instant idle_release,
                     Instant now);
 
+// The host's entry for a renewal; null where this life of it is not known.
+LedgerEntry* FindForRenewal(Ledger& ledger,
+                            uint64_t host,
+                            uint64_t incarnation);
+
 // Stores a record sent to this host as the backup.
 ShareGrant OnRecord(Ledger& ledger,
                     const ShareReport& report,
--- a/include/acaciahold/Admission/share.h
+++ b/include/acaciahold/Admission/share.h
@@ -19,8 +19,8 @@
 namespace acaciahold::admission {
 
 // How long a granted share admits new flows, from the report it answers.
-inline constexpr Duration kShareLease = std::chrono::seconds(6);
-inline constexpr Duration kReportInterval = std::chrono::seconds(2);
+inline constexpr Duration kShareLease = std::chrono::seconds(8);
+inline constexpr Duration kReportInterval = std::chrono::seconds(3);
 // A share that runs low is reported at once, but no more often than this.
 inline constexpr Duration kMinReportInterval = std::chrono::milliseconds(100);
 
@@ -81,6 +81,7 @@
   uint32_t recorded = 0;  // What the backup has confirmed.
   bool has_backup = false;
   Instant sent_at;  // Of the newest report.
+  bool is_answered = false;  // The newest report was.
   Instant report_deadline;
   Instant earliest_report;
 };
@@ -91,6 +92,25 @@
 
 bool IsReportDue(const Share& share, const ShareCell& cell, Instant now);
 
+// Whether the share can be renewed as it is: the coordinator knows its amount,
+// which covers the open flows and leaves about the headroom. `is_warm` tells
+// that outcomes are no news.
+bool IsRenewable(const Share& share,
+                 const ShareCell& cell,
+                 uint32_t headroom,
+                 bool is_warm,
+                 Instant now);
+
+// One share's part in a renewal of many. The parts are combined by XOR on both
+// sides; only shares that both know alike are renewed.
+uint64_t RenewalPart(uint64_t service,
+                     uint64_t upstream,
+                     uint64_t sequence,
+                     uint32_t held);
+
+// The coordinator agreed to a renewal that was sent at `sent_at`.
+void OnRenewed(ShareCell& cell, Instant sent_at);
+
 // Makes the next report, which may give up what is not needed.
 ShareReport MakeReport(Share& share,
                        ShareCell& cell,
--- a/include/acaciahold/Entry/entry.h
+++ b/include/acaciahold/Entry/entry.h
@@ -84,6 +84,14 @@
   membership::HostId backup = 0;       // 0 for none.
 };
 
+// The newest renewal of shares at one coordinator.
+struct Renewal {
+  uint64_t number = 0;  // 0 before the first.
+  Instant sent_at;
+  Instant deadline;  // The next one is sent then.
+  std::vector<upstream::Key> shares;
+};
+
 using LedgerKey = std::pair<uint64_t, upstream::UpstreamId>;
 
 // A ledger that this host keeps as the coordinator or the backup.
@@ -111,6 +119,7 @@
   Instant replan_deadline;
   std::map<upstream::Key, ShareState> shares;
   std::map<LedgerKey, LedgerSlot> ledgers;
+  std::map<membership::HostId, Renewal> renewals;  // By coordinator.
   std::map<membership::HostId, NoticeLink> links;
   uint64_t next_batch = 1;
   PullRound pulls;
--- a/include/acaciahold/Membership/membership.h
+++ b/include/acaciahold/Membership/membership.h
@@ -25,7 +25,7 @@
 
 using HostId = uint64_t;  // Hash of the host's name.
 
-inline constexpr Duration kProbeInterval = std::chrono::milliseconds(400);
+inline constexpr Duration kProbeInterval = std::chrono::milliseconds(500);
 inline constexpr Duration kAckTimeout = std::chrono::milliseconds(150);
 inline constexpr Duration kSuspicionTimeout = std::chrono::milliseconds(1200);
 // A member that is gone is forgotten after this; until then its record keeps
--- a/include/acaciahold/Steering/plan.h
+++ b/include/acaciahold/Steering/plan.h
@@ -48,6 +48,7 @@
   bool is_usable = false;  // May be given packets at all.
   uint32_t weight = 0;     // By the table and the ramp.
   uint32_t limit = 0;      // Open flows of the whole system at this step.
+  bool is_warm = false;    // At the last step of the ramp.
   HostIndex coordinator = kNoHost;
   HostIndex backup_coordinator = kNoHost;
   std::shared_ptr<admission::ShareCell> cell;  // Never null.
--- a/include/acaciahold/Wire/peer_message.h
+++ b/include/acaciahold/Wire/peer_message.h
@@ -50,14 +50,22 @@
   uint64_t incarnation = 0;  // Of the sender of the batch.
 };
 
+// Reports of one host, and a renewal of those of its shares that the receiver
+// coordinates and that are not reported.
 struct ShareReports {
-  std::vector<admission::ShareReport> reports;  // All of one host.
+  membership::HostId host = 0;
+  uint64_t incarnation = 0;
+  std::vector<admission::ShareReport> reports;
+  uint64_t renewal = 0;         // The XOR of the renewed shares' parts.
+  uint64_t renewal_number = 0;  // 0 for no renewal.
 };
 
 struct ShareGrants {
   membership::HostId host = 0;
   uint64_t incarnation = 0;  // Of the host that is granted.
   std::vector<admission::ShareGrant> grants;
+  uint64_t renewed_number = 0;  // Of the renewal that is answered; 0 for none.
+  bool is_renewed = false;
 };
 
 // An upstream's word, sent on to its coordinator.
--- a/lib/Admission/ledger.cc
+++ b/lib/Admission/ledger.cc
@@ -20,7 +20,7 @@
     if (entry.amount > 0) {
       ledger.frozen.push_back({entry.amount, idle_release});
     }
-    entry = {report.incarnation, 0, 0, Instant()};
+    entry = {report.incarnation, 0, 0, 0, Instant()};
   }
   return &entry;
 }
@@ -52,6 +52,7 @@
     return grant;
   }
   entry->sequence = report.sequence;
+  entry->is_frozen = false;
   entry->heard_at = now;
   entry->amount = std::max(report.held, report.open);
   uint64_t accounted = Accounted(ledger);
@@ -66,10 +67,21 @@
   if (given > 0) {
     grant.total = entry->amount;
   }
+  entry->held = grant.total;
   grant.is_exhausted = given < wish;
   return grant;
 }
 
+LedgerEntry* FindForRenewal(Ledger& ledger, uint64_t host,
+                            uint64_t incarnation) {
+  auto it = ledger.entries.find(host);
+  if (it == ledger.entries.end() || it->second.incarnation != incarnation ||
+      it->second.sequence == 0 || it->second.is_frozen) {
+    return nullptr;
+  }
+  return &it->second;
+}
+
 ShareGrant OnRecord(Ledger& ledger,
                     const ShareReport& report,
                     Instant idle_release,
@@ -83,7 +95,9 @@
     return grant;
   }
   entry->sequence = report.sequence;
+  entry->is_frozen = false;
   entry->heard_at = now;
+  entry->held = report.held;
   entry->amount = std::max(report.held, report.open);
   return grant;
 }
@@ -98,6 +112,7 @@
       ledger.frozen.push_back({it->second.amount, now + idle_timeout});
       // The incarnation and sequence stay, so that a late report is known.
       it->second.amount = 0;
+      it->second.is_frozen = true;
     }
     ++it;
   }
--- a/lib/Admission/share.cc
+++ b/lib/Admission/share.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "acaciahold/Support/hash.h"
+
 namespace acaciahold::admission {
 namespace {
 
@@ -86,6 +88,32 @@
   return now >= (is_urgent ? share.earliest_report : share.report_deadline);
 }
 
+bool IsRenewable(const Share& share, const ShareCell& cell, uint32_t headroom,
+                 bool is_warm, Instant now) {
+  uint32_t open = OpenFlows(cell);
+  bool is_news = cell.failures.load(std::memory_order_relaxed) > 0 ||
+                 (!is_warm && cell.successes.load(std::memory_order_relaxed));
+  bool is_settled = share.is_answered && !IsLeaseOver(cell, now) &&
+                    (!share.has_backup || share.recorded == share.held);
+  bool is_ample = share.held >= open + (headroom + 1) / 2;
+  bool is_lean = share.held <= open + 2 * headroom;
+  bool is_exhausted = cell.is_exhausted.load(std::memory_order_relaxed);
+  return is_settled && !is_news && share.held >= open && is_lean &&
+         (is_ample || is_exhausted) &&
+         !cell.is_wanting.load(std::memory_order_relaxed);
+}
+
+uint64_t RenewalPart(uint64_t service, uint64_t upstream, uint64_t sequence,
+                     uint32_t held) {
+  return CombineHashes(CombineHashes(service, upstream),
+                       CombineHashes(sequence, held));
+}
+
+void OnRenewed(ShareCell& cell, Instant sent_at) {
+  cell.lease_deadline.store(Count(sent_at + kShareLease),
+                            std::memory_order_relaxed);
+}
+
 ShareReport MakeReport(Share& share,
                        ShareCell& cell,
                        uint32_t headroom,
@@ -99,6 +127,7 @@
   }
   cell.is_wanting.store(false, std::memory_order_relaxed);
   share.sent_at = now;
+  share.is_answered = false;
   share.report_deadline = now + kReportInterval;
   share.earliest_report = now + kMinReportInterval;
   ShareReport report;
@@ -116,6 +145,7 @@
     return false;
   }
   share.held = grant.total;
+  share.is_answered = true;
   cell.is_exhausted.store(grant.is_exhausted, std::memory_order_relaxed);
   cell.lease_deadline.store(Count(share.sent_at + kShareLease),
                             std::memory_order_relaxed);
--- a/lib/Entry/entry.cc
+++ b/lib/Entry/entry.cc
@@ -232,6 +232,16 @@
   ReviewLedgers(entry.control, now);
 }
 
+// The member whose datagrams come from this endpoint; 0 for none.
+HostId HostWithPeer(const ControlState& control, Endpoint peer) {
+  for (const auto& host : control.plan->hosts) {
+    if (host.peer == peer) {
+      return host.id;
+    }
+  }
+  return 0;
+}
+
 void HandlePeerMessage(Entry& entry,
                        const wire::PeerMessage& message,
                        Endpoint from,
@@ -250,7 +260,8 @@
     }
   } else if (const auto* grants = std::get_if<wire::ShareGrants>(&message)) {
     if (entry.control.plan) {
-      HandleGrants(entry, *grants, actions);
+      HandleGrants(entry, *grants, HostWithPeer(entry.control, from), now,
+                   actions);
     }
   } else if (const auto* word =
                  std::get_if<wire::ForwardedAnnouncement>(&message)) {
--- a/lib/Entry/entry_state.h
+++ b/lib/Entry/entry_state.h
@@ -33,6 +33,8 @@
                    Actions& actions);
 void HandleGrants(Entry& entry,
                   const wire::ShareGrants& grants,
+                  membership::HostId coordinator,
+                  Instant now,
                   Actions& actions);
 std::vector<wire::LedgerState> LedgersFor(const ControlState& control,
                                           membership::HostId host);
--- a/lib/Entry/shares.cc
+++ b/lib/Entry/shares.cc
@@ -2,7 +2,7 @@
 // the upstreams that it coordinates or backs up.
 
 #include <algorithm>
-#include <limits>
+#include <set>
 
 #include "acaciahold/Support/hash.h"
 #include "entry_state.h"
@@ -16,6 +16,9 @@
 using steering::ServicePlan;
 using steering::Target;
 
+// A renewal that is not answered is sent again after this.
+constexpr Duration kRenewalRetryInterval = std::chrono::milliseconds(700);
+
 // One upstream of one service in the plan.
 struct Place {
   const ServicePlan* service = nullptr;
@@ -95,24 +98,22 @@
   outbox[state.backup].reports.push_back(record);
 }
 
-void ReportOne(ControlState& control,
+uint32_t HeadroomOf(const ControlState& control, const Target& target) {
+  if (!target.takes_new) {
+    return 0;
+  }
+  return admission::Headroom(target.limit,
+                             static_cast<uint32_t>(control.plan->hosts.size()));
+}
+
+void AddReport(ControlState& control,
                const Place& place,
                ShareState& state,
                Instant now,
                Outbox& outbox) {
-  auto& cell = *place.target->cell;
-  bool is_used = place.target->takes_new || admission::OpenFlows(cell) > 0;
-  if (!is_used || state.coordinator == 0 ||
-      !admission::IsReportDue(state.share, cell, now)) {
-    return;
-  }
-  uint32_t headroom =
-      place.target->takes_new
-          ? admission::Headroom(
-                place.target->limit,
-                static_cast<uint32_t>(control.plan->hosts.size()))
-          : 0;
-  auto report = admission::MakeReport(state.share, cell, headroom, now);
+  auto report =
+      admission::MakeReport(state.share, *place.target->cell,
+                            HeadroomOf(control, *place.target), now);
   Address(control, place, report);
   outbox[state.coordinator].reports.push_back(report);
   if (state.backup != 0 && state.share.recorded != state.share.held) {
@@ -120,6 +121,57 @@
   }
 }
 
+// Reports the share if that is urgent, or adds it to the renewal that is due.
+void ReportOrRenew(ControlState& control,
+                   const Place& place,
+                   ShareState& state,
+                   Instant now,
+                   Outbox& outbox) {
+  const auto& cell = *place.target->cell;
+  bool is_used = place.target->takes_new || admission::OpenFlows(cell) > 0 ||
+                 state.share.sequence > 0;
+  if (!is_used || state.coordinator == 0) {
+    return;
+  }
+  bool is_renewable = admission::IsRenewable(
+      state.share, cell, HeadroomOf(control, *place.target),
+      place.target->is_warm, now);
+  auto& renewal = control.renewals[state.coordinator];
+  bool is_renewal_due = now >= renewal.deadline;
+  if (is_renewable) {
+    if (is_renewal_due) {
+      auto& message = outbox[state.coordinator];
+      message.renewal ^= admission::RenewalPart(
+          place.service->id, place.target->id, state.share.sequence,
+          state.share.held);
+      message.renewal_number = renewal.number + 1;
+      renewal.shares.push_back({place.service->name, place.target->id});
+    }
+    return;
+  }
+  if (is_renewal_due || admission::IsReportDue(state.share, cell, now)) {
+    AddReport(control, place, state, now, outbox);
+  }
+}
+
+// Numbers the renewals that the messages carry, and sets when the next ones
+// are due.
+void CloseRenewals(ControlState& control, Outbox& outbox, Instant now) {
+  for (auto& [host, renewal] : control.renewals) {
+    if (now >= renewal.deadline) {
+      renewal.sent_at = now;
+      renewal.deadline = now + kRenewalRetryInterval;
+    }
+  }
+  for (auto& [host, message] : outbox) {
+    message.host = control.membership.self.id;
+    message.incarnation = control.membership.self.incarnation;
+    if (message.renewal_number != 0) {
+      control.renewals[host].number = message.renewal_number;
+    }
+  }
+}
+
 void SendOutbox(Entry& entry,
                 const Outbox& outbox,
                 Instant now,
@@ -160,6 +212,74 @@
   return admission::OnReport(slot.ledger, report, limit, idle_release, now);
 }
 
+// The parts of the host's shares here that the message does not report.
+uint64_t RenewalHere(ControlState& control,
+                     const wire::ShareReports& message,
+                     std::vector<admission::LedgerEntry*>& entries) {
+  std::set<LedgerKey> reported;
+  for (const auto& report : message.reports) {
+    reported.insert({report.service, report.upstream});
+  }
+  uint64_t sum = 0;
+  for (auto& [key, slot] : control.ledgers) {
+    auto* entry = slot.is_coordinator && !reported.contains(key)
+                      ? admission::FindForRenewal(slot.ledger, message.host,
+                                                  message.incarnation)
+                      : nullptr;
+    if (entry) {
+      entries.push_back(entry);
+      sum ^= admission::RenewalPart(key.first, key.second, entry->sequence,
+                                    entry->held);
+    }
+  }
+  return sum;
+}
+
+void AnswerRenewal(ControlState& control,
+                   const wire::ShareReports& message,
+                   Instant now,
+                   wire::ShareGrants& grants) {
+  if (message.renewal_number == 0) {
+    return;
+  }
+  std::vector<admission::LedgerEntry*> entries;
+  grants.renewed_number = message.renewal_number;
+  grants.is_renewed =
+      RenewalHere(control, message, entries) == message.renewal;
+  if (!grants.is_renewed) {
+    return;
+  }
+  for (auto* entry : entries) {
+    entry->heard_at = now;
+  }
+}
+
+// What the coordinator said of a renewal. Where the two sides differ, each of
+// its shares is reported anew.
+void TakeRenewal(ControlState& control,
+                 HostId coordinator,
+                 const wire::ShareGrants& grants,
+                 Instant now) {
+  auto& renewal = control.renewals[coordinator];
+  if (grants.renewed_number == 0 || grants.renewed_number != renewal.number) {
+    return;
+  }
+  renewal.deadline = now + admission::kReportInterval;
+  for (const auto& key : renewal.shares) {
+    auto cell = control.cells.find(key);
+    auto share = control.shares.find(key);
+    if (cell == control.cells.end() || share == control.shares.end()) {
+      continue;
+    }
+    if (grants.is_renewed) {
+      admission::OnRenewed(*cell->second, renewal.sent_at);
+    } else {
+      share->second.share.is_answered = false;
+      share->second.share.report_deadline = now;
+    }
+  }
+}
+
 }  // namespace
 
 void FollowPlan(ControlState& control, Instant now) {
@@ -173,14 +293,20 @@
 void ReportShares(Entry& entry, Instant now, Actions& actions) {
   auto& control = entry.control;
   Outbox outbox;
+  for (auto& [host, renewal] : control.renewals) {
+    if (now >= renewal.deadline) {
+      renewal.shares.clear();
+    }
+  }
   for (const auto& service : control.plan->services) {
     for (const auto& target : service->targets) {
       Place place{service.get(), &target};
       if (auto* state = FindShare(control, place)) {
-        ReportOne(control, place, *state, now, outbox);
+        ReportOrRenew(control, place, *state, now, outbox);
       }
     }
   }
+  CloseRenewals(control, outbox, now);
   SendOutbox(entry, outbox, now, actions);
 }
 
@@ -200,6 +326,9 @@
                    Actions& actions) {
   auto& control = entry.control;
   wire::ShareGrants grants;
+  grants.host = reports.host;
+  grants.incarnation = reports.incarnation;
+  AnswerRenewal(control, reports, now, grants);
   for (const auto& report : reports.reports) {
     Place place = FindPlace(control, report.service, report.upstream);
     if (!place.target) {
@@ -211,16 +340,15 @@
     if (!is_for_us) {
       continue;  // The sender has another plan; it reports again.
     }
-    grants.host = report.host;
-    grants.incarnation = report.incarnation;
     grants.grants.push_back(
         AnswerReport(control, place, it->second, report, now));
   }
-  if (grants.grants.empty()) {
+  if (grants.grants.empty() && grants.renewed_number == 0) {
     return;
   }
-  if (grants.host == control.membership.self.id) {
-    HandleGrants(entry, grants, actions);
+  HostId self = control.membership.self.id;
+  if (grants.host == self) {
+    HandleGrants(entry, grants, self, now, actions);
   } else {
     SendTo(entry, from, grants, actions);
   }
@@ -228,12 +356,15 @@
 
 void HandleGrants(Entry& entry,
                   const wire::ShareGrants& grants,
+                  HostId coordinator,
+                  Instant now,
                   Actions& actions) {
   auto& control = entry.control;
   if (grants.host != control.membership.self.id ||
       grants.incarnation != control.membership.self.incarnation) {
     return;
   }
+  TakeRenewal(control, coordinator, grants, now);
   Outbox records;
   for (const auto& grant : grants.grants) {
     Place place = FindPlace(control, grant.service, grant.upstream);
@@ -244,15 +375,13 @@
     auto& cell = *place.target->cell;
     if (grant.is_record) {
       admission::OnRecordConfirmed(state->share, cell, grant);
-    } else if (admission::OnGrant(state->share, cell, grant)) {
+    } else if (admission::OnGrant(state->share, cell, grant) &&
+               state->backup != 0) {
       AddRecord(control, place, *state, records);
     }
   }
-  for (const auto& [host, reports] : records) {
-    if (auto to = PeerEndpoint(control, host)) {
-      SendTo(entry, *to, reports, actions);
-    }
-  }
+  CloseRenewals(control, records, now);
+  SendOutbox(entry, records, now, actions);
 }
 
 std::vector<wire::LedgerState> LedgersFor(const ControlState& control,
--- a/lib/Steering/flow_shard.cc
+++ b/lib/Steering/flow_shard.cc
@@ -3,7 +3,6 @@
 #include "acaciahold/Steering/flow_shard.h"
 
 #include <algorithm>
-#include <cmath>
 
 #include "acaciahold/Support/check.h"
 
@@ -12,6 +11,10 @@
 
 using upstream::UpstreamId;
 
+// A new flow goes elsewhere where its upstream is this far above the mean.
+constexpr double kMaxOverMean = 1.06;
+constexpr double kOverMeanSlack = 4;
+
 Decision Drop(Reason reason) {
   return {.verdict = Verdict::kDrop, .reason = reason, .to = {}, .notice = {}};
 }
@@ -145,24 +148,41 @@
   return Forward(*target);
 }
 
-// Where a new flow goes that its bucket's upstream can't take: upstreams in an
-// order of the flow's own, weighted.
+// Open flows at this host for each unit of weight.
+double LocalLoad(const Target& target) {
+  return static_cast<double>(admission::OpenFlows(*target.cell)) /
+         target.weight;
+}
+
+// Whether the upstream has clearly more of this host's flows than its weight
+// accounts for. Flows spread over all buckets, so one host's view will do.
+bool IsOverloaded(const ServicePlan& service, const Target& target) {
+  uint64_t open = 0;
+  uint64_t weight = 0;
+  for (const auto& it : service.targets) {
+    if (it.takes_new) {
+      open += admission::OpenFlows(*it.cell);
+      weight += it.weight;
+    }
+  }
+  double mean = static_cast<double>(open) * target.weight /
+                static_cast<double>(weight);
+  return admission::OpenFlows(*target.cell) >
+         mean * kMaxOverMean + kOverMeanSlack;
+}
+
+// Where a new flow goes that its bucket's upstream is not to take: the least
+// loaded first, by weight.
 std::vector<const Target*> Alternatives(const Context& c) {
   std::vector<std::pair<double, const Target*>> ranked;
   for (const auto& target : c.service.targets) {
-    if (!target.takes_new || target.weight == 0) {
-      continue;
+    if (target.takes_new && target.weight > 0) {
+      ranked.emplace_back(LocalLoad(target), &target);
     }
-    double u =
-        (static_cast<double>(RendezvousScore(c.packet.fingerprint, target.id)) +
-         1.0) /
-        18446744073709551616.0;
-    ranked.emplace_back(-static_cast<double>(target.weight) / std::log(u),
-                        &target);
-  }
-  std::sort(ranked.rbegin(), ranked.rend());
+  }
+  std::sort(ranked.begin(), ranked.end());
   std::vector<const Target*> targets;
-  for (const auto& [score, target] : ranked) {
+  for (const auto& [load, target] : ranked) {
     targets.push_back(target);
   }
   return targets;
@@ -196,7 +216,8 @@
     return Refuse(Reason::kTableFull);
   }
   const auto* target = FindTarget(c.service, c.bucket.assigned);
-  bool is_plain = target && target->takes_new && c.bucket.moving_to == 0;
+  bool is_plain = target && target->takes_new && c.bucket.moving_to == 0 &&
+                  !IsOverloaded(c.service, *target);
   if (is_plain && admission::TryAdmit(*target->cell, c.now)) {
     Insert(c, target->id).is_counted = true;
     return Forward(*target);
--- a/lib/Steering/plan.cc
+++ b/lib/Steering/plan.cc
@@ -38,6 +38,7 @@
     full = std::min(full, record.said.connections);
   }
   target.limit = upstream::LimitAtStep(full, row.limits.cold, record.ramp_step);
+  target.is_warm = record.ramp_step >= upstream::kLastRampStep;
   auto route =
       RankHosts(plan.hosts, CombineHashes(HashText(row.name), target.id),
                 record.said.failure_domain);
--- a/lib/Wire/peer_message.cc
+++ b/lib/Wire/peer_message.cc
@@ -145,9 +145,11 @@
 
 void FillContent(pb::Datagram& datagram, const ShareReports& reports) {
   auto& to = *datagram.mutable_reports();
+  to.set_host(reports.host);
+  to.set_incarnation(reports.incarnation);
+  to.set_renewal(reports.renewal);
+  to.set_renewal_number(reports.renewal_number);
   for (const auto& it : reports.reports) {
-    to.set_host(it.host);
-    to.set_incarnation(it.incarnation);
     auto* report = to.add_reports();
     report->set_service(it.service);
     report->set_upstream(it.upstream);
@@ -165,6 +167,8 @@
   auto& to = *datagram.mutable_grants();
   to.set_host(grants.host);
   to.set_incarnation(grants.incarnation);
+  to.set_renewed_number(grants.renewed_number);
+  to.set_is_renewed(grants.is_renewed);
   for (const auto& it : grants.grants) {
     auto* grant = to.add_grants();
     grant->set_service(it.service);
@@ -230,6 +234,10 @@
 
 PeerMessage ReadContent(const pb::ShareReports& from) {
   ShareReports reports;
+  reports.host = from.host();
+  reports.incarnation = from.incarnation();
+  reports.renewal = from.renewal();
+  reports.renewal_number = from.renewal_number();
   for (const auto& it : from.reports()) {
     admission::ShareReport report;
     report.host = from.host();
@@ -252,6 +260,8 @@
   ShareGrants grants;
   grants.host = from.host();
   grants.incarnation = from.incarnation();
+  grants.renewed_number = from.renewed_number();
+  grants.is_renewed = from.is_renewed();
   for (const auto& it : from.grants()) {
     grants.grants.push_back({it.service(), it.upstream(), from.host(),
                              it.sequence(), it.total(), it.is_exhausted(),
@@ -280,6 +290,7 @@
     entry->set_incarnation(it.incarnation);
     entry->set_sequence(it.sequence);
     entry->set_amount(it.amount);
+    entry->set_held(it.held);
   }
   for (const auto& it : state.ledger.frozen) {
     auto* frozen = to.add_frozen();
@@ -294,7 +305,8 @@
   state.upstream = from.upstream();
   for (const auto& it : from.entries()) {
     state.ledger.entries[it.host()] = {it.incarnation(), it.sequence(),
-                                       it.amount(), Instant()};
+                                       it.amount(), it.held(), Instant(),
+                                       false};
   }
   for (const auto& it : from.frozen()) {
     state.ledger.frozen.push_back(
--- a/unittests/Wire/peer_message_test.cc
+++ b/unittests/Wire/peer_message_test.cc
@@ -64,7 +64,7 @@
   report.held = 4;
   report.is_record = true;
   std::string storage;
-  auto decoded = RoundTrip(ShareReports{{report}}, storage);
+  auto decoded = RoundTrip(ShareReports{2, 3, {report}, 0, 0}, storage);
   BOOST_REQUIRE(decoded);
   const auto& copy = std::get<ShareReports>(*decoded).reports.at(0);
   BOOST_TEST(copy.host == 2U);
@@ -73,7 +73,7 @@
   Handoff handoff;
   handoff.held_services = {5, 6};
   LedgerState state{7, 8, {}};
-  state.ledger.entries[9] = {1, 2, 3, Instant()};
+  state.ledger.entries[9] = {1, 2, 3, 4, Instant(), false};
   state.ledger.frozen = {{4, FromUnixMillis(5)}};
   handoff.ledgers.push_back(state);
   auto again = DecodeHandoff(EncodeHandoff(handoff));
