Keep bucket state through lost hosts, changed views and lost offers

Found by tracing each moved flow to what both holders of its bucket knew: (1) owner and backup began a bucket from different plans, both at version 0; (2) an offer to a backup whose word was lost left the backup ahead of its owner; (3) a handoff was answered by a host with another view of the members, which left buckets out; (4) a copy's idle time ran from its notice, so that a new owner ended quiet flows at once; (5) frozen shares were told back and forth and doubled with each telling. Ruled out: lost datagrams (the model loses none without a fault). Change: a bucket has no upstream until its owner says so; offers are numbered and a lost one is made again; handoffs need equal views and come from the last owner; idle time restarts with the role; frozen shares are named by the host's life. In doubt, and between different views, an unknown packet is dropped.

--- a/bench/flow_model.cc
+++ b/bench/flow_model.cc
@@ -3,6 +3,7 @@
 #include "flow_model.h"
 
 #include <algorithm>
+#include <cstdio>
 
 #include <tins/ip.h>
 #include <tins/rawpdu.h>
@@ -388,21 +389,24 @@
       });
     }
   }
-  for (const auto& [peer, admin] : actions.pull_handoffs) {
-    size_t to = admin.address - 1;
-    Post(spec_.latency * 3, [this, from, to, id = peer] {
+  for (const auto& pull : actions.pull_handoffs) {
+    size_t to = pull.admin.address - 1;
+    Post(spec_.latency * 3, [this, from, to, pull] {
       if (!hosts_[to].is_up || !hosts_[from].is_up || !CanReach(from, to)) {
         return;
       }
       auto handoff = entry::MakeHandoff(
-          *hosts_[to].core, hosts_[from].record.id,
-          hosts_[from].core->control.membership.self.incarnation, now_);
+          *hosts_[to].core,
+          {hosts_[from].record.id,
+           hosts_[from].core->control.membership.self.incarnation, pull.view,
+           pull.is_empty_handed},
+          now_);
       if (handoff) {
         auto bytes = wire::EncodeHandoff(*handoff).size();
         hosts_[to].core->counters.control_bytes_sent += bytes;
         hosts_[from].core->counters.control_bytes_received += bytes;
       }
-      entry::OnHandoff(*hosts_[from].core, id, handoff, now_);
+      entry::OnHandoff(*hosts_[from].core, pull.peer, handoff, now_);
     });
   }
   for (const auto& admin : actions.pull_registries) {
@@ -564,6 +568,30 @@
   tally_ = {};
 }
 
+void FlowModel::PrintReasons() const {
+  for (const auto& host : hosts_) {
+    const auto& c = host.core->counters;
+    std::printf("  %s %s: forwarded %llu passed %llu parked %llu",
+                host.record.name.c_str(), host.is_up ? "up" : "down",
+                static_cast<unsigned long long>(c.forwarded),
+                static_cast<unsigned long long>(c.passed),
+                static_cast<unsigned long long>(c.parked));
+    for (size_t i = 0; i <= static_cast<size_t>(steering::Reason::kTableFull);
+         ++i) {
+      auto name = steering::ReasonName(static_cast<steering::Reason>(i));
+      if (c.dropped[i] + c.refused[i] > 0) {
+        std::printf(" %.*s %llu/%llu", static_cast<int>(name.size()),
+                    name.data(),
+                    static_cast<unsigned long long>(c.dropped[i]),
+                    static_cast<unsigned long long>(c.refused[i]));
+      }
+    }
+    std::printf(" control %llu\n",
+                static_cast<unsigned long long>(c.control_bytes_sent +
+                                                c.control_bytes_received));
+  }
+}
+
 Tally FlowModel::Totals() {
   CountControl();
   std::chrono::duration<double> time = now_ - control_from_;
--- a/bench/flow_model.h
+++ b/bench/flow_model.h
@@ -94,6 +94,7 @@
   uint64_t OpenFlows() const;
   Tally Totals();
   void ResetControlBytes();
+  void PrintReasons() const;
   Instant now() const { return now_; }
   std::string DomainName(int i) const { return "fd" + std::to_string(i + 1); }
   uint64_t random() { return random_(); }
--- a/bench/flows.cc
+++ b/bench/flows.cc
@@ -173,8 +173,36 @@
   show("fd2 back +30 s");
 }
 
+// One change alone, for finding causes: prints why packets were not forwarded.
+void Single(const std::string& what, uint64_t seed) {
+  FlowModel model(Kitami(kSteadyLoad / 4), Method::kAcaciahold, seed);
+  model.Open();
+  model.ResetControlBytes();
+  if (what == "drain") {
+    model.Drain();
+  } else if (what == "join") {
+    model.Join();
+  } else if (what == "weight") {
+    model.ChangeWeight();
+  } else if (what == "restart") {
+    model.RestartHost();
+  } else if (what == "replace") {
+    model.ReplaceHost();
+  } else if (what == "kill") {
+    model.KillHost();
+  }
+  model.Run(seconds(20));
+  Print("single " + what, "Kitami/4", "acaciahold", seed, model.OpenFlows(),
+        model.Totals());
+  model.PrintReasons();
+}
+
 int Main(int argc, char** argv) {
   uint64_t seed = argc > 2 ? std::stoull(argv[2]) : 1;
+  if (argc > 1 && std::string(argv[1]).starts_with("single-")) {
+    Single(std::string(argv[1]).substr(7), seed);
+    return 0;
+  }
   std::string only = argc > 1 ? argv[1] : "all";
   bool is_all = only == "all";
   for (const auto& make : {Inyange, Kitami}) {
--- a/include/acaciahold/Admission/ledger.h
+++ b/include/acaciahold/Admission/ledger.h
@@ -5,9 +5,9 @@
 #ifndef ACACIAHOLD_ADMISSION_LEDGER_H_
 #define ACACIAHOLD_ADMISSION_LEDGER_H_
 
+#include <compare>
 #include <cstdint>
 #include <map>
-#include <vector>
 
 #include "acaciahold/Admission/share.h"
 #include "acaciahold/Support/time.h"
@@ -30,16 +30,28 @@
   Instant release_deadline;
 };
 
+// One life of a host.
+struct HostLife {
+  uint64_t host = 0;  // HostId.
+  uint64_t incarnation = 0;
+
+  auto operator<=>(const HostLife&) const = default;
+};
+
 // Invariant: the sum of entries and frozen shares is at least what all hosts
 // may have open; shares are granted only out of what that sum leaves.
 struct Ledger {
   std::map<uint64_t, LedgerEntry> entries;  // By HostId.
-  std::vector<FrozenShare> frozen;
+  std::map<HostLife, FrozenShare> frozen;
   // Nothing is granted before it: a new coordinator first hears the hosts, and
   // leases that its predecessor granted lapse.
   Instant grant_deadline;
 };
 
+// Freezes a share. Of two words on the same life the larger and the later one
+// hold, so that hosts can tell each other any number of times.
+void Freeze(Ledger& ledger, HostLife life, const FrozenShare& share);
+
 // What the ledger accounts for, frozen shares included.
 uint64_t Accounted(const Ledger& ledger);
 
--- a/include/acaciahold/Entry/entry.h
+++ b/include/acaciahold/Entry/entry.h
@@ -42,6 +42,8 @@
 inline constexpr Duration kPullRetryInterval = std::chrono::milliseconds(200);
 inline constexpr Duration kSweepInterval = std::chrono::milliseconds(250);
 inline constexpr Duration kRegistryPullDelay = std::chrono::seconds(3);
+// After the loss of a host no bucket moves for so long.
+inline constexpr Duration kMoveStopAfterLoss = std::chrono::minutes(5);
 
 // Counted outcomes, for metrics.
 struct Counters {
@@ -69,8 +71,13 @@
   };
   std::vector<Datagram> datagrams;  // From the peer socket.
   std::vector<Inner> inner;         // From the packet socket.
-  // Peers to pull from, by their admin endpoint.
-  std::vector<std::pair<membership::HostId, Endpoint>> pull_handoffs;
+  struct HandoffPull {
+    membership::HostId peer = 0;
+    Endpoint admin;
+    uint64_t view = 0;
+    bool is_empty_handed = false;
+  };
+  std::vector<HandoffPull> pull_handoffs;
   std::vector<Endpoint> pull_registries;
   std::vector<Endpoint> pull_tables;
 
@@ -103,6 +110,7 @@
 // One round of pulling bucket states from all peers.
 struct PullRound {
   bool is_running = false;
+  bool is_empty_handed = false;  // Nothing is known here of any bucket.
   std::set<membership::HostId> waiting_for;
   std::set<uint64_t> held_by_peers;  // Services.
   Instant retry_deadline;
@@ -167,11 +175,18 @@
                        const upstream::Announcement& said,
                        Instant now);
 
-// What this host holds for `host`. Nothing while that host, in this life, is
-// not known to be a member: it is to ask again.
+// Who asks for a handoff, and what it has.
+struct HandoffRequest {
+  membership::HostId host = 0;
+  uint64_t incarnation = 0;
+  uint64_t view = 0;
+  bool is_empty_handed = false;
+};
+
+// What this host holds for the asking one. Nothing while the two differ in
+// their view, or that life of the host is not known: it is to ask again.
 std::optional<wire::Handoff> MakeHandoff(Entry& entry,
-                                         membership::HostId host,
-                                         uint64_t incarnation,
+                                         const HandoffRequest& request,
                                          Instant now);
 
 // A peer's answer to a pull; nothing where it failed.
--- a/include/acaciahold/Host/entry_shell.h
+++ b/include/acaciahold/Host/entry_shell.h
@@ -60,8 +60,7 @@
   boost::asio::awaitable<void> PollTable();
   boost::asio::awaitable<void> PullTable(Endpoint from);
   boost::asio::awaitable<void> PullRegistry(Endpoint from);
-  boost::asio::awaitable<void> PullHandoff(membership::HostId peer,
-                                           Endpoint from);
+  boost::asio::awaitable<void> PullHandoff(entry::Actions::HandoffPull pull);
 
   // Carries out what the core asked for.
   void Perform(entry::Actions actions);
--- a/include/acaciahold/Steering/flow_shard.h
+++ b/include/acaciahold/Steering/flow_shard.h
@@ -79,6 +79,15 @@
   bool is_merged = false;  // A peer has told of the bucket.
   bool was_idle = false;   // Each that did knew that it had no flow.
   upstream::UpstreamId moving_to = 0;  // 0 while no move waits for the backup.
+  // The highest version that was ever offered to a backup, which may have
+  // stored it although its word was lost.
+  uint32_t offered_version = 0;
+  bool is_offer_lost = false;  // The move is to be offered again.
+  // This host was the last to own the bucket, or held it when its owner was
+  // lost: it tells others of the bucket.
+  bool was_primary = false;
+  // Nobody could tell of the bucket, though its service is not new.
+  bool is_blind = false;
   std::unordered_map<uint64_t, Flow> flows;  // By fingerprint.
 };
 
@@ -94,6 +103,9 @@
   mutable std::mutex mutex;
   uint32_t index = 0;
   std::shared_ptr<const Plan> plan;  // Null until the first plan.
+  std::shared_ptr<const Plan> previous;  // The last one of another view.
+  // Hosts came back that may know flows of this host's buckets.
+  bool is_uniting = false;
   std::unordered_map<uint64_t, ShardService> services;
   uint64_t flow_count = 0;
   uint64_t max_flows = 0;
@@ -107,6 +119,7 @@
   bool is_tcp = true;
   uint32_t hops = 0;       // Entry hosts that passed it on before.
   bool is_acting = false;  // The sender wants this host to decide.
+  uint64_t sender_view = 0;  // Of the host that passed it on.
 };
 
 enum class Verdict { kForward, kPass, kPark, kRefuse, kDrop };
@@ -128,6 +141,7 @@
   Reason reason = Reason::kNone;
   Endpoint to;  // kForward, kPark: upstream; kPass: peer.
   bool pass_acting = false;
+  uint64_t view = 0;  // kPass: the view that this rests on.
   // kPark: forwarded once the bucket's backup has stored this.
   BucketNotice notice;
 };
@@ -154,9 +168,11 @@
                  Instant now);
 
 // Moves that are due, up to about `max_bytes` of notices, to be confirmed by
-// OnMoveStored. Where a bucket has no backup it moves at once.
+// OnNoticeStored. Where a bucket has no backup it moves at once. Unless
+// `may_move`, only buckets move whose upstream is gone.
 std::vector<BucketNotice> StartMoves(FlowShard& shard,
                                      size_t max_bytes,
+                                     bool may_move,
                                      Instant now);
 
 // The bucket's backup has stored the notice.
@@ -168,13 +184,18 @@
 // Stores what the bucket's owner, or a peer that was asked, says of it.
 void MergeNotice(FlowShard& shard, const BucketNotice& notice, Instant now);
 
+// The notice came from the bucket's owner itself.
+void OnOwnersNotice(FlowShard& shard, const BucketNotice& notice);
+
 // Ends flows past their idle deadline, in a part of the shard at each call.
 // Returns ended exceptions, for the backup to drop.
 std::vector<BucketNotice> Sweep(FlowShard& shard, Instant now);
 
-// State of buckets that `host` answers for in this plan.
+// What this host has to tell of buckets that `host` answers for: those that
+// are new to it in this view, or all where it `is_empty_handed`.
 std::vector<BucketNotice> ExportFor(const FlowShard& shard,
                                     membership::HostId host,
+                                    bool is_empty_handed,
                                     Instant now);
 
 // Services that this host holds and that are not new.
--- a/include/acaciahold/Steering/plan.h
+++ b/include/acaciahold/Steering/plan.h
@@ -66,8 +66,11 @@
 // Invariant: `hosts[self]` is this host.
 struct Plan {
   uint64_t epoch = 0;  // Rises with each new plan of this process.
+  uint64_t view = 0;   // Hash of the hosts; the same on hosts that agree.
   HostIndex self = kNoHost;
-  std::vector<PlanHost> hosts;
+  // Most members are not reached: this host is probably cut off with a few.
+  bool is_minority = false;
+  std::vector<PlanHost> hosts;  // Sorted by id.
   std::vector<std::shared_ptr<const ServicePlan>> services;
   std::unordered_map<uint64_t, size_t> by_address;  // Packed endpoint.
   std::unordered_map<uint64_t, size_t> by_id;
@@ -93,6 +96,9 @@
 
 const ServicePlan* FindService(const Plan& plan, uint64_t service_id);
 
+// Whether the host is in the plan.
+bool HasHost(const Plan& plan, membership::HostId host);
+
 // The owner and the backup among the hosts, by rendezvous over the key.
 // Hosts of `failure_domain` alone where it is not empty.
 Route RankHosts(std::span<const PlanHost> hosts,
--- a/include/acaciahold/Wire/peer_message.h
+++ b/include/acaciahold/Wire/peer_message.h
@@ -34,7 +34,8 @@
 struct PassedPacket {
   uint32_t hops = 0;
   bool is_acting = false;
-  Endpoint fabric;  // Where a refusal is returned to.
+  Endpoint fabric;    // Where a refusal is returned to.
+  uint64_t view = 0;  // Of the host that passes it on.
   std::span<const std::byte> inner;
 };
 
--- a/lib/Admission/ledger.cc
+++ b/lib/Admission/ledger.cc
@@ -18,7 +18,8 @@
   }
   if (report.incarnation > entry.incarnation) {
     if (entry.amount > 0) {
-      ledger.frozen.push_back({entry.amount, idle_release});
+      Freeze(ledger, {report.host, entry.incarnation},
+             {entry.amount, idle_release});
     }
     entry = {report.incarnation, 0, 0, 0, Instant()};
   }
@@ -27,12 +28,19 @@
 
 }  // namespace
 
+void Freeze(Ledger& ledger, HostLife life, const FrozenShare& share) {
+  auto& known = ledger.frozen[life];
+  known.amount = std::max(known.amount, share.amount);
+  known.release_deadline =
+      std::max(known.release_deadline, share.release_deadline);
+}
+
 uint64_t Accounted(const Ledger& ledger) {
   uint64_t sum = 0;
   for (const auto& [host, entry] : ledger.entries) {
     sum += entry.amount;
   }
-  for (const auto& share : ledger.frozen) {
+  for (const auto& [life, share] : ledger.frozen) {
     sum += share.amount;
   }
   return sum;
@@ -109,15 +117,16 @@
       continue;
     }
     if (it->second.amount > 0) {
-      ledger.frozen.push_back({it->second.amount, now + idle_timeout});
+      Freeze(ledger, {it->first, it->second.incarnation},
+             {it->second.amount, now + idle_timeout});
       // The incarnation and sequence stay, so that a late report is known.
       it->second.amount = 0;
       it->second.is_frozen = true;
     }
     ++it;
   }
-  std::erase_if(ledger.frozen, [&](const FrozenShare& share) {
-    return now >= share.release_deadline;
+  std::erase_if(ledger.frozen, [&](const auto& it) {
+    return now >= it.second.release_deadline;
   });
 }
 
--- a/lib/Entry/entry.cc
+++ b/lib/Entry/entry.cc
@@ -95,19 +95,31 @@
       upstream::OnAnnouncement(entry.control.registry, said, now);
 }
 
-bool HasSameHosts(const steering::Plan& a, const steering::Plan& b) {
-  return std::equal(a.hosts.begin(), a.hosts.end(), b.hosts.begin(),
-                    b.hosts.end(),
-                    [](const auto& x, const auto& y) { return x.id == y.id; });
-}
-
-void StartPulls(ControlState& control, Instant now) {
+// Whether the later plan has a host that the earlier one has not.
+bool HasAdded(const steering::Plan& earlier, const steering::Plan& later) {
+  return std::any_of(
+      later.hosts.begin(), later.hosts.end(),
+      [&](const auto& host) { return !steering::HasHost(earlier, host.id); });
+}
+
+// Asks all peers, or only those that are new in the view and may know flows
+// of buckets that this host holds.
+void StartPulls(ControlState& control,
+                const steering::Plan* before,
+                bool needs_all,
+                Instant now) {
   auto& pulls = control.pulls;
-  pulls = {};
+  bool was_running = pulls.is_running;
+  bool is_empty_handed = !before || was_running;
   pulls.is_running = true;
+  pulls.is_empty_handed = needs_all ? is_empty_handed : pulls.is_empty_handed;
   pulls.retry_deadline = now;
+  if (needs_all) {
+    pulls.waiting_for.clear();
+  }
   for (const auto& host : control.plan->hosts) {
-    if (host.id != control.membership.self.id) {
+    bool is_asked = needs_all || !steering::HasHost(*before, host.id);
+    if (is_asked && host.id != control.membership.self.id) {
       pulls.waiting_for.insert(host.id);
     }
   }
@@ -133,18 +145,22 @@
                                      before ? before->epoch + 1 : 1);
   control.is_plan_outdated = false;
   control.replan_deadline = now + kReplanInterval;
-  if (before && !HasSameHosts(*before, *control.plan)) {
+  bool has_new_view = !before || before->view != control.plan->view;
+  if (before && has_new_view) {
     ResetLinks(entry);
     upstream::ExtendSilence(control.registry, now);
   }
+  bool has_added = before && has_new_view && HasAdded(*before, *control.plan);
   bool needs_pull = false;
   for (auto& shard : entry.shards) {
     std::lock_guard lock(shard.mutex);
     needs_pull |= steering::OnPlan(shard, control.plan, now);
+    shard.is_uniting |= has_added;
   }
   FollowPlan(control, now);
-  if (needs_pull) {
-    StartPulls(control, now);
+  bool was_running = control.pulls.is_running;
+  if (has_added || (needs_pull && (has_new_view || !was_running))) {
+    StartPulls(control, before.get(), needs_pull, now);
   }
 }
 
@@ -178,7 +194,9 @@
   pulls.retry_deadline = now + kPullRetryInterval;
   for (HostId id : pulls.waiting_for) {
     if (const auto* member = FindMember(control, id)) {
-      actions.pull_handoffs.emplace_back(id, member->known.host.admin);
+      actions.pull_handoffs.push_back({id, member->known.host.admin,
+                                       control.plan->view,
+                                       pulls.is_empty_handed});
     }
   }
 }
@@ -194,9 +212,22 @@
   control.move_bytes_at = now;
 }
 
+// Whether a member was lost lately that may only be cut off. Buckets then stay
+// where they are, so that both sides agree when they meet again.
+bool HasLostHost(const membership::Membership& membership, Instant now) {
+  return std::any_of(
+      membership.members.begin(), membership.members.end(),
+      [&](const auto& it) {
+        Instant lost_at = it.second.forget_deadline - membership::kForgetTimeout;
+        return it.second.known.state == membership::MemberState::kDead &&
+               now < lost_at + kMoveStopAfterLoss;
+      });
+}
+
 void MoveBuckets(Entry& entry, Instant now) {
   auto& control = entry.control;
   RefillMoveBytes(control, now);
+  bool may_move = !HasLostHost(control.membership, now);
   for (auto& shard : entry.shards) {
     if (control.move_bytes <= 0) {
       return;
@@ -205,7 +236,7 @@
     {
       std::lock_guard lock(shard.mutex);
       notices = steering::StartMoves(
-          shard, static_cast<size_t>(control.move_bytes), now);
+          shard, static_cast<size_t>(control.move_bytes), may_move, now);
     }
     for (auto& notice : notices) {
       control.move_bytes -= static_cast<double>(steering::NoticeBytes(notice));
@@ -317,7 +348,7 @@
                        Endpoint fabric,
                        Instant now) {
   Actions actions;
-  HandlePacket(entry, inner, fabric, 0, false, now, actions);
+  HandlePacket(entry, inner, fabric, 0, false, 0, now, actions);
   return actions;
 }
 
@@ -334,7 +365,7 @@
   }
   if (const auto* passed = std::get_if<wire::PassedPacket>(&*message)) {
     HandlePacket(entry, passed->inner, passed->fabric, passed->hops,
-                 passed->is_acting, now, actions);
+                 passed->is_acting, passed->view, now, actions);
     return actions;
   }
   entry.counters.control_bytes_received += bytes.size() + kIpAndUdpBytes;
@@ -400,15 +431,14 @@
 }
 
 std::optional<wire::Handoff> MakeHandoff(Entry& entry,
-                                         HostId host,
-                                         uint64_t incarnation,
+                                         const HandoffRequest& request,
                                          Instant now) {
   auto& control = entry.control;
   std::lock_guard lock(control.mutex);
-  const auto* member = FindMember(control, host);
+  const auto* member = FindMember(control, request.host);
   bool is_known = member && control.plan &&
-                  member->known.host.incarnation == incarnation &&
-                  PeerEndpoint(control, host);
+                  member->known.host.incarnation == request.incarnation &&
+                  control.plan->view == request.view;
   if (!is_known) {
     return std::nullopt;
   }
@@ -416,14 +446,15 @@
   std::set<uint64_t> held;
   for (auto& shard : entry.shards) {
     std::lock_guard shard_lock(shard.mutex);
-    auto notices = steering::ExportFor(shard, host, now);
+    auto notices = steering::ExportFor(shard, request.host,
+                                       request.is_empty_handed, now);
     std::move(notices.begin(), notices.end(),
               std::back_inserter(handoff.buckets));
     auto services = steering::HeldServices(shard, now);
     held.insert(services.begin(), services.end());
   }
   handoff.held_services.assign(held.begin(), held.end());
-  handoff.ledgers = LedgersFor(control, host);
+  handoff.ledgers = LedgersFor(control, request.host);
   return handoff;
 }
 
--- a/lib/Entry/entry_state.h
+++ b/lib/Entry/entry_state.h
@@ -65,6 +65,7 @@
                   Endpoint fabric,
                   uint32_t hops,
                   bool is_acting,
+                  uint64_t sender_view,
                   Instant now,
                   Actions& actions);
 
--- a/lib/Entry/packets.cc
+++ b/lib/Entry/packets.cc
@@ -57,6 +57,7 @@
                   Endpoint fabric,
                   uint32_t hops,
                   bool is_acting,
+                  uint64_t sender_view,
                   Instant now,
                   Actions& actions) {
   auto& counters = entry.counters;
@@ -73,6 +74,7 @@
   flow.is_tcp = fields.key.protocol == packet::Protocol::kTcp;
   flow.hops = hops;
   flow.is_acting = is_acting;
+  flow.sender_view = sender_view;
   auto decision = DecideInShard(entry, fields, flow, now);
   if (!decision) {
     ++counters.unknown_service;
@@ -86,7 +88,8 @@
       return;
     case Verdict::kPass: {
       ++counters.passed;
-      wire::PassedPacket passed{hops + 1, decision->pass_acting, fabric, inner};
+      wire::PassedPacket passed{hops + 1, decision->pass_acting, fabric,
+                                decision->view, inner};
       actions.datagrams.push_back({decision->to, wire::Encode(passed)});
       return;
     }
--- a/lib/Entry/shares.cc
+++ b/lib/Entry/shares.cc
@@ -90,7 +90,7 @@
   if (it != control.ledgers.end() && it->second.is_coordinator) {
     // The backup keeps the coordinator's frozen shares as part of its own.
     uint32_t frozen = 0;
-    for (const auto& share : it->second.ledger.frozen) {
+    for (const auto& [life, share] : it->second.ledger.frozen) {
       frozen += share.amount;
     }
     record.open = std::max(record.open, record.held + frozen);
@@ -417,15 +417,17 @@
     bool is_newer = std::pair(theirs.incarnation, theirs.sequence) >
                     std::pair(mine.incarnation, mine.sequence);
     if (theirs.incarnation < mine.incarnation && theirs.amount > 0) {
-      ledger.frozen.push_back({theirs.amount, now + idle_timeout});
+      admission::Freeze(ledger, {host, theirs.incarnation},
+                        {theirs.amount, now + idle_timeout});
     }
     if (is_newer) {
       mine = theirs;
       mine.heard_at = now;
     }
   }
-  ledger.frozen.insert(ledger.frozen.end(), state.ledger.frozen.begin(),
-                       state.ledger.frozen.end());
+  for (const auto& [life, share] : state.ledger.frozen) {
+    admission::Freeze(ledger, life, share);
+  }
 }
 
 }  // namespace acaciahold::entry
--- a/lib/Host/entry_shell.cc
+++ b/lib/Host/entry_shell.cc
@@ -118,8 +118,8 @@
   for (const auto& it : actions.inner) {
     packet_sockets_.front()->Send(it.to, it.bytes);
   }
-  for (const auto& [peer, admin] : actions.pull_handoffs) {
-    asio::co_spawn(io_, PullHandoff(peer, admin), asio::detached);
+  for (const auto& pull : actions.pull_handoffs) {
+    asio::co_spawn(io_, PullHandoff(pull), asio::detached);
   }
   for (const auto& admin : actions.pull_registries) {
     asio::co_spawn(io_, PullRegistry(admin), asio::detached);
@@ -195,26 +195,28 @@
   }
 }
 
-asio::awaitable<void> EntryShell::PullHandoff(membership::HostId peer,
-                                              Endpoint from) {
+asio::awaitable<void> EntryShell::PullHandoff(
+    entry::Actions::HandoffPull pull) {
   uint64_t incarnation = 0;
   {
     std::lock_guard lock(entry_->control.mutex);
     incarnation = entry_->control.membership.self.incarnation;
   }
   auto id = membership::MakeHostId(settings_.name);
-  auto result =
-      co_await client_.Fetch(from,
-                             Get("/v1/handoff?host=" + std::to_string(id) +
-                                 "&incarnation=" + std::to_string(incarnation)),
-                             ReadClock() + kPullTimeout);
+  auto result = co_await client_.Fetch(
+      pull.admin,
+      Get("/v1/handoff?host=" + std::to_string(id) +
+          "&incarnation=" + std::to_string(incarnation) +
+          "&view=" + std::to_string(pull.view) +
+          "&empty_handed=" + std::to_string(pull.is_empty_handed)),
+      ReadClock() + kPullTimeout);
   if (result.end != http::FetchEnd::kAnswer ||
       result.response.result() != Status::ok) {
     co_return;
   }
   entry_->counters.control_bytes_received += result.response.body().size();
-  entry::OnHandoff(*entry_, peer, wire::DecodeHandoff(result.response.body()),
-                   ReadClock());
+  entry::OnHandoff(*entry_, pull.peer,
+                   wire::DecodeHandoff(result.response.body()), ReadClock());
 }
 
 std::optional<Response> EntryShell::Handle(const http::Request& request) {
@@ -260,12 +262,16 @@
 }
 
 Response EntryShell::OnHandoffRequest(std::string_view target) {
-  auto handoff = entry::MakeHandoff(
-      *entry_, ReadNumber(http::QueryParameter(target, "host")),
-      ReadNumber(http::QueryParameter(target, "incarnation")), ReadClock());
+  entry::HandoffRequest request;
+  request.host = ReadNumber(http::QueryParameter(target, "host"));
+  request.incarnation = ReadNumber(http::QueryParameter(target, "incarnation"));
+  request.view = ReadNumber(http::QueryParameter(target, "view"));
+  request.is_empty_handed =
+      http::QueryParameter(target, "empty_handed") == "1";
+  auto handoff = entry::MakeHandoff(*entry_, request, ReadClock());
   if (!handoff) {
     return http::MakeProblem(Status::service_unavailable, "unknown-host",
-                             "the asking host is not a known member yet",
+                             "the asking host has another view of the members",
                              "ask again shortly");
   }
   auto body = wire::EncodeHandoff(*handoff);
--- a/lib/Steering/flow_shard.cc
+++ b/lib/Steering/flow_shard.cc
@@ -229,7 +229,11 @@
 // an earlier owner, on the assigned upstream, since exceptions are known.
 Decision AdoptFlow(Context& c) {
   const auto* target = FindTarget(c.service, c.bucket.assigned);
-  if (!target || !target->is_usable) {
+  bool is_other_view =
+      c.packet.hops > 0 && c.packet.sender_view != c.plan.view;
+  bool is_in_doubt = is_other_view || c.shard.is_uniting ||
+                     (c.bucket.is_blind && c.plan.is_minority);
+  if (is_in_doubt || !target || !target->is_usable) {
     return Drop(Reason::kInDoubt);
   }
   if (c.packet.closes) {
@@ -284,6 +288,7 @@
   return Decision{.verdict = Verdict::kPass,
                   .to = plan.hosts[decider].peer,
                   .pass_acting = decider != route.owner,
+                  .view = plan.view,
                   .notice = {}};
 }
 
@@ -298,51 +303,84 @@
   return {.verdict = Verdict::kPass,
           .to = plan.hosts[route.backup].peer,
           .pass_acting = true,
+          .view = plan.view,
           .notice = {}};
 }
 
+// A copy of an exception is as old as its notice; only from now on does this
+// host see whether the flow is idle.
+void RestartIdleTime(Bucket& bucket, Duration idle_timeout, Instant now) {
+  for (auto& [fingerprint, flow] : bucket.flows) {
+    if (!flow.is_counted) {
+      flow.idle_deadline = now + idle_timeout;
+    }
+  }
+}
+
 void Retire(Bucket& bucket, Duration idle_timeout, Instant now) {
   bucket.phase = BucketPhase::kRetired;
-  bucket.is_owned = false;
   bucket.is_merged = false;
   bucket.was_idle = false;
   bucket.moving_to = 0;
-  for (auto& [fingerprint, flow] : bucket.flows) {
-    flow.idle_deadline = std::min(flow.idle_deadline, now + idle_timeout);
-  }
+  RestartIdleTime(bucket, idle_timeout, now);
 }
 
+// A bucket that nobody told of has no upstream yet: its owner assigns one and
+// tells the backup, so that the two can't begin from different plans.
 void MakeHeld(Bucket& bucket,
               const ServicePlan& service,
-              uint32_t index,
               bool is_new,
               Instant now) {
+  bucket.is_blind = !is_new && !bucket.is_merged &&
+                    bucket.phase == BucketPhase::kEmpty;
   bucket.phase = BucketPhase::kHeld;
-  if (bucket.assigned == 0) {
-    bucket.assigned = DesiredTarget(service, index);
-  }
   bool is_settled = is_new || bucket.was_idle;
   bucket.settled_at = is_settled ? now : now + service.idle_timeout;
 }
 
-bool UpdateBucket(Bucket& bucket,
+// Whether the bucket's owner in the earlier view is gone from this one.
+bool IsOwnerLost(const Plan* previous,
+                 const Plan& plan,
+                 uint64_t service_id,
+                 uint32_t index) {
+  const auto* service =
+      previous ? FindService(*previous, service_id) : nullptr;
+  if (!service || service->routes[index].owner == kNoHost) {
+    return false;
+  }
+  return !HasHost(plan, previous->hosts[service->routes[index].owner].id);
+}
+
+bool UpdateBucket(FlowShard& shard,
+                  Bucket& bucket,
                   const ServicePlan& service,
                   uint32_t index,
-                  HostIndex self,
                   Instant now) {
+  const Plan& plan = *shard.plan;
   const auto& route = service.routes[index];
-  bool is_owner = route.owner == self;
-  if (!is_owner && route.backup != self) {
-    if (bucket.phase == BucketPhase::kHeld) {
+  bool is_owner = route.owner == plan.self;
+  bool is_held = bucket.phase == BucketPhase::kHeld;
+  if (is_held && !is_owner) {
+    bucket.was_primary |=
+        bucket.is_owned ||
+        IsOwnerLost(shard.previous.get(), plan, service.id, index);
+  }
+  if (!is_owner && route.backup != plan.self) {
+    bucket.is_owned = false;
+    if (is_held) {
       Retire(bucket, service.idle_timeout, now);
     }
     return false;
   }
   if (is_owner && !bucket.is_owned) {
     bucket.settled_at = now + service.idle_timeout;
+    RestartIdleTime(bucket, service.idle_timeout, now);
+  }
+  if (bucket.moving_to != 0 && !is_owner) {
+    bucket.moving_to = 0;
   }
   bucket.is_owned = is_owner;
-  return bucket.phase != BucketPhase::kHeld;
+  return !is_held;
 }
 
 void DropRemovedServices(FlowShard& shard, const Plan& plan) {
@@ -377,18 +415,20 @@
   return notice;
 }
 
-// The flows that stay where they are when the bucket moves.
-BucketNotice MoveNotice(const Bucket& bucket,
-                        uint64_t service,
-                        uint32_t index,
-                        UpstreamId moving_to) {
+// Offers the backup a move, with the flows that stay where they are.
+BucketNotice OfferMove(Bucket& bucket,
+                       uint64_t service,
+                       uint32_t index,
+                       UpstreamId moving_to) {
   BucketNotice notice;
+  bucket.offered_version =
+      std::max(bucket.version, bucket.offered_version) + 1;
   notice.service = service;
   notice.bucket = static_cast<uint16_t>(index);
-  notice.version = bucket.version + 1;
+  notice.version = bucket.offered_version;
   notice.assigned = moving_to;
   for (const auto& [fingerprint, flow] : bucket.flows) {
-    if (flow.upstream == bucket.assigned) {
+    if (flow.upstream != moving_to) {
       notice.added.push_back({fingerprint, flow.upstream});
     }
   }
@@ -399,37 +439,54 @@
   bucket.assigned = notice.assigned;
   bucket.version = notice.version;
   bucket.moving_to = 0;
+  bucket.is_offer_lost = false;
+}
+
+// Where the bucket should go now; 0 where it is to stay, or has to.
+UpstreamId MoveTarget(const Bucket& bucket,
+                      const ServicePlan& service,
+                      uint32_t index,
+                      bool may_move,
+                      Instant now) {
+  UpstreamId desired = DesiredTarget(service, index);
+  const auto* old = FindTarget(service, bucket.assigned);
+  bool is_lost = !old || !old->is_usable;
+  bool is_due = desired != 0 && desired != bucket.assigned &&
+                (is_lost || (may_move && now >= bucket.settled_at));
+  if (is_due) {
+    return desired;
+  }
+  // A lost offer is made good even where the bucket stays: the backup may have
+  // stored it.
+  return bucket.is_offer_lost ? bucket.assigned : 0;
 }
 
-// Starts the bucket's move, if one is due. Nothing where the backup needs no
+// Starts the bucket's move, if one is due. Nothing where no backup needs a
 // notice.
 std::optional<BucketNotice> StartMove(Bucket& bucket,
                                       const ServicePlan& service,
                                       uint32_t index,
+                                      bool may_move,
                                       Instant now) {
-  if (!bucket.is_owned || bucket.phase != BucketPhase::kHeld ||
-      bucket.moving_to != 0) {
+  bool is_waiting = bucket.moving_to != 0 && !bucket.is_offer_lost;
+  if (!bucket.is_owned || bucket.phase != BucketPhase::kHeld || is_waiting) {
     return std::nullopt;
   }
-  UpstreamId desired = DesiredTarget(service, index);
-  if (desired == 0 || desired == bucket.assigned) {
+  UpstreamId moving_to = MoveTarget(bucket, service, index, may_move, now);
+  if (moving_to == 0) {
     return std::nullopt;
   }
-  const auto* old = FindTarget(service, bucket.assigned);
-  bool is_lost = !old || !old->is_usable;
-  if (!is_lost && now < bucket.settled_at) {
+  auto notice = OfferMove(bucket, service.id, index, moving_to);
+  if (service.routes[index].backup == kNoHost) {
+    CompleteMove(bucket, notice);
     return std::nullopt;
   }
-  auto notice = MoveNotice(bucket, service.id, index, desired);
-  bool has_backup = service.routes[index].backup != kNoHost;
-  if (is_lost || !has_backup) {
-    notice.added.clear();
+  const auto* old = FindTarget(service, bucket.assigned);
+  if (!old || !old->is_usable) {
     CompleteMove(bucket, notice);
   } else {
-    bucket.moving_to = desired;
-  }
-  if (!has_backup) {
-    return std::nullopt;
+    bucket.moving_to = moving_to;
+    bucket.is_offer_lost = false;
   }
   return notice;
 }
@@ -533,13 +590,16 @@
 
 bool OnPlan(FlowShard& shard, std::shared_ptr<const Plan> plan, Instant now) {
   bool needs_pull = false;
+  if (shard.plan && shard.plan->view != plan->view) {
+    shard.previous = shard.plan;
+  }
   shard.plan = std::move(plan);
   DropRemovedServices(shard, *shard.plan);
   for (const auto& service : shard.plan->services) {
     auto& buckets = BucketsOf(shard, service->id);
     for (uint32_t i = 0; i < kBucketsPerShard; ++i) {
-      needs_pull |= UpdateBucket(buckets[i], *service, BucketAt(shard, i),
-                                 shard.plan->self, now);
+      needs_pull |=
+          UpdateBucket(shard, buckets[i], *service, BucketAt(shard, i), now);
     }
   }
   return needs_pull;
@@ -549,6 +609,7 @@
                  std::span<const uint64_t> held_by_peers,
                  Instant now) {
   const Plan& plan = *shard.plan;
+  shard.is_uniting = false;
   for (const auto& service : plan.services) {
     auto& buckets = BucketsOf(shard, service->id);
     bool is_held = std::any_of(
@@ -565,7 +626,7 @@
       const auto& route = service->routes[index];
       bool is_here = route.owner == plan.self || route.backup == plan.self;
       if (is_here && buckets[i].phase != BucketPhase::kHeld) {
-        MakeHeld(buckets[i], *service, index, is_new, now);
+        MakeHeld(buckets[i], *service, is_new, now);
       }
     }
   }
@@ -573,6 +634,7 @@
 
 std::vector<BucketNotice> StartMoves(FlowShard& shard,
                                      size_t max_bytes,
+                                     bool may_move,
                                      Instant now) {
   std::vector<BucketNotice> notices;
   size_t bytes = 0;
@@ -582,7 +644,8 @@
   for (const auto& service : shard.plan->services) {
     auto& buckets = BucketsOf(shard, service->id);
     for (uint32_t i = 0; i < kBucketsPerShard && bytes < max_bytes; ++i) {
-      auto notice = StartMove(buckets[i], *service, BucketAt(shard, i), now);
+      auto notice = StartMove(buckets[i], *service, BucketAt(shard, i),
+                              may_move, now);
       if (notice) {
         bytes += NoticeBytes(*notice);
         notices.push_back(std::move(*notice));
@@ -604,16 +667,29 @@
       it->second.is_replicated = true;
     }
   }
-  if (bucket->moving_to == notice.assigned && bucket->moving_to != 0 &&
-      notice.version == bucket->version + 1) {
+  bool is_newest = bucket->moving_to != 0 && !bucket->is_offer_lost &&
+                   notice.version == bucket->offered_version;
+  if (is_newest) {
     CompleteMove(*bucket, notice);
   }
 }
 
 void OnNoticeLost(FlowShard& shard, const BucketNotice& notice) {
   auto* bucket = FindBucket(shard, notice);
-  if (bucket && notice.version == bucket->version + 1) {
-    bucket->moving_to = 0;
+  bool is_offer = bucket && bucket->is_owned && notice.version > 0 &&
+                  notice.version == bucket->offered_version &&
+                  notice.version >= bucket->version;
+  if (!is_offer) {
+    return;
+  }
+  // New flows stay exceptions until the backup has stored a newer offer.
+  bucket->is_offer_lost = true;
+  bucket->moving_to = notice.assigned;
+}
+
+void OnOwnersNotice(FlowShard& shard, const BucketNotice& notice) {
+  if (auto* bucket = FindBucket(shard, notice)) {
+    bucket->was_primary = false;
   }
 }
 
@@ -628,6 +704,7 @@
     bucket.version = std::max(bucket.version, notice.version);
     bucket.assigned = notice.assigned;
     bucket.moving_to = 0;
+    bucket.is_offer_lost = false;
   }
   bool is_first_word = bucket.phase == BucketPhase::kEmpty && !bucket.is_merged;
   bucket.was_idle = notice.is_idle && (is_first_word || bucket.was_idle);
@@ -672,29 +749,54 @@
   return notices;
 }
 
+namespace {
+
+bool IsIn(const Plan& plan, const Route& route, membership::HostId host) {
+  auto is_host = [&](HostIndex h) {
+    return h != kNoHost && plan.hosts[h].id == host;
+  };
+  return is_host(route.owner) || is_host(route.backup);
+}
+
+// Whether the host answered for the bucket before this view.
+bool WasIn(const Plan* previous,
+           uint64_t service_id,
+           uint32_t index,
+           membership::HostId host) {
+  const auto* service =
+      previous ? FindService(*previous, service_id) : nullptr;
+  return service && IsIn(*previous, service->routes[index], host);
+}
+
+}  // namespace
+
 std::vector<BucketNotice> ExportFor(const FlowShard& shard,
                                     membership::HostId host,
+                                    bool is_empty_handed,
                                     Instant now) {
   std::vector<BucketNotice> notices;
   if (!shard.plan) {
     return notices;
   }
   const Plan& plan = *shard.plan;
+  membership::HostId self = plan.hosts[plan.self].id;
   for (const auto& [service_id, held] : shard.services) {
-    const auto& buckets = held.buckets;
     const auto* service = FindService(plan, service_id);
     if (!service) {
       continue;
     }
     for (uint32_t i = 0; i < kBucketsPerShard; ++i) {
       uint32_t index = BucketAt(shard, i);
+      const auto& bucket = held.buckets[i];
       const auto& route = service->routes[index];
-      auto is_host = [&](HostIndex h) {
-        return h != kNoHost && plan.hosts[h].id == host;
-      };
-      bool is_asked = is_host(route.owner) || is_host(route.backup);
-      if (is_asked && buckets[i].phase != BucketPhase::kEmpty) {
-        notices.push_back(StateOf(buckets[i], service_id, index, now));
+      bool is_told = bucket.is_owned || bucket.was_primary ||
+                     (is_empty_handed && IsIn(plan, route, self));
+      bool is_asked =
+          IsIn(plan, route, host) &&
+          (is_empty_handed ||
+           !WasIn(shard.previous.get(), service_id, index, host));
+      if (is_told && is_asked && bucket.phase != BucketPhase::kEmpty) {
+        notices.push_back(StateOf(bucket, service_id, index, now));
       }
     }
   }
--- a/lib/Steering/plan.cc
+++ b/lib/Steering/plan.cc
@@ -127,6 +127,14 @@
     }
   }
   AssertInvariant(plan->self != kNoHost, "a plan holds its own host");
+  for (const auto& host : plan->hosts) {
+    plan->view = CombineHashes(plan->view, host.id);
+  }
+  size_t lost = std::count_if(
+      inputs.members.begin(), inputs.members.end(), [](const auto& member) {
+        return member.state == membership::MemberState::kDead;
+      });
+  plan->is_minority = lost > plan->hosts.size();
   for (const auto& row : inputs.table->rows) {
     if (row.service.kind != table::ServiceKind::kFlow) {
       continue;
@@ -149,6 +157,12 @@
   return &*it;
 }
 
+bool HasHost(const Plan& plan, membership::HostId host) {
+  return std::binary_search(
+      plan.hosts.begin(), plan.hosts.end(), PlanHost{.id = host},
+      [](const PlanHost& a, const PlanHost& b) { return a.id < b.id; });
+}
+
 const ServicePlan* FindService(const Plan& plan, uint64_t service_id) {
   auto it = plan.by_id.find(service_id);
   return it == plan.by_id.end() ? nullptr : plan.services[it->second].get();
--- a/lib/Wire/peer_message.cc
+++ b/lib/Wire/peer_message.cc
@@ -125,6 +125,7 @@
   to.set_hops(packet.hops);
   to.set_is_acting(packet.is_acting);
   to.set_fabric(PackEndpoint(packet.fabric));
+  to.set_view(packet.view);
   to.set_inner(packet.inner.data(), packet.inner.size());
 }
 
@@ -277,6 +278,7 @@
   packet.hops = from.hops();
   packet.is_acting = from.is_acting();
   packet.fabric = UnpackEndpoint(from.fabric());
+  packet.view = from.view();
   packet.inner = std::as_bytes(std::span(storage));
   return packet;
 }
@@ -292,8 +294,10 @@
     entry->set_amount(it.amount);
     entry->set_held(it.held);
   }
-  for (const auto& it : state.ledger.frozen) {
+  for (const auto& [life, it] : state.ledger.frozen) {
     auto* frozen = to.add_frozen();
+    frozen->set_host(life.host);
+    frozen->set_incarnation(life.incarnation);
     frozen->set_amount(it.amount);
     frozen->set_release_ms(ToUnixMillis(it.release_deadline));
   }
@@ -309,8 +313,8 @@
                                        false};
   }
   for (const auto& it : from.frozen()) {
-    state.ledger.frozen.push_back(
-        {it.amount(), FromUnixMillis(it.release_ms())});
+    state.ledger.frozen[{it.host(), it.incarnation()}] = {
+        it.amount(), FromUnixMillis(it.release_ms())};
   }
   return state;
 }
--- a/unittests/Wire/peer_message_test.cc
+++ b/unittests/Wire/peer_message_test.cc
@@ -48,7 +48,7 @@
   BOOST_REQUIRE(decoded);
   BOOST_CHECK(std::get<NoticeBatch>(*decoded).notices == batch.notices);
   std::vector<std::byte> inner(40, std::byte{7});
-  decoded = RoundTrip(PassedPacket{1, true, {2, 3}, inner}, storage);
+  decoded = RoundTrip(PassedPacket{1, true, {2, 3}, 4, inner}, storage);
   BOOST_REQUIRE(decoded);
   const auto& packet = std::get<PassedPacket>(*decoded);
   BOOST_TEST(packet.is_acting);
@@ -74,13 +74,13 @@
   handoff.held_services = {5, 6};
   LedgerState state{7, 8, {}};
   state.ledger.entries[9] = {1, 2, 3, 4, Instant(), false};
-  state.ledger.frozen = {{4, FromUnixMillis(5)}};
+  state.ledger.frozen[{6, 7}] = {4, FromUnixMillis(5)};
   handoff.ledgers.push_back(state);
   auto again = DecodeHandoff(EncodeHandoff(handoff));
   BOOST_REQUIRE(again);
   BOOST_TEST(again->held_services == handoff.held_services);
   BOOST_TEST(again->ledgers.at(0).ledger.entries.at(9).amount == 3U);
-  BOOST_CHECK(again->ledgers.at(0).ledger.frozen.at(0).release_deadline ==
+  BOOST_CHECK(again->ledgers.at(0).ledger.frozen.at({6, 7}).release_deadline ==
               FromUnixMillis(5));
 }
 
