Keep exceptions through quick successions of changes

Change: a leaving host takes no rank; a pull names the last view whose buckets are all known; the backup stands in another failure domain; a backup keeps exceptions as copies; retired holders tell where a puller is more than one view behind. News of upstreams goes out least-sent first.

--- a/bench/flow_model.cc
+++ b/bench/flow_model.cc
@@ -399,7 +399,7 @@
           *hosts_[to].core,
           {hosts_[from].record.id,
            hosts_[from].core->control.membership.self.incarnation, pull.view,
-           pull.is_empty_handed},
+           pull.known_view},
           now_);
       if (handoff) {
         auto bytes = wire::EncodeHandoff(*handoff).size();
--- a/include/acaciahold/Entry/entry.h
+++ b/include/acaciahold/Entry/entry.h
@@ -75,7 +75,7 @@
     membership::HostId peer = 0;
     Endpoint admin;
     uint64_t view = 0;
-    bool is_empty_handed = false;
+    uint64_t known_view = 0;
   };
   std::vector<HandoffPull> pull_handoffs;
   std::vector<Endpoint> pull_registries;
@@ -110,7 +110,6 @@
 // One round of pulling bucket states from all peers.
 struct PullRound {
   bool is_running = false;
-  bool is_empty_handed = false;  // Nothing is known here of any bucket.
   std::set<membership::HostId> waiting_for;
   std::set<uint64_t> held_by_peers;  // Services.
   Instant retry_deadline;
@@ -131,6 +130,8 @@
   std::map<membership::HostId, NoticeLink> links;
   uint64_t next_batch = 1;
   PullRound pulls;
+  // The last view for which all buckets of this host were known; 0 for none.
+  uint64_t known_view = 0;
   double move_bytes = kMoveBurstBytes;
   Instant move_bytes_at;
   Instant sweep_deadline;
@@ -180,7 +181,7 @@
   membership::HostId host = 0;
   uint64_t incarnation = 0;
   uint64_t view = 0;
-  bool is_empty_handed = false;
+  uint64_t known_view = 0;  // The last one whose buckets it all has.
 };
 
 // What this host holds for the asking one. Nothing while the two differ in
--- a/include/acaciahold/Membership/membership.h
+++ b/include/acaciahold/Membership/membership.h
@@ -31,6 +31,8 @@
 // A member that is gone is forgotten after this; until then its record keeps
 // older news of it from returning.
 inline constexpr Duration kForgetTimeout = std::chrono::minutes(30);
+// A peer with another view is told all members no more often than this.
+inline constexpr Duration kSnapshotInterval = std::chrono::seconds(2);
 inline constexpr size_t kMaxUpdatesPerMessage = 6;
 inline constexpr size_t kIndirectProbes = 2;
 
@@ -110,6 +112,7 @@
   std::vector<HostId> probe_order;
   std::vector<OutstandingPing> pings;
   Instant probe_deadline;
+  Instant snapshot_deadline;  // Not every differing view is answered in full.
   uint64_t next_sequence = 1;
   std::mt19937_64 random;
 };
--- a/include/acaciahold/Steering/flow_shard.h
+++ b/include/acaciahold/Steering/flow_shard.h
@@ -192,10 +192,11 @@
 std::vector<BucketNotice> Sweep(FlowShard& shard, Instant now);
 
 // What this host has to tell of buckets that `host` answers for: those that
-// are new to it in this view, or all where it `is_empty_handed`.
+// are new to it since its `known_view`, or all where that is not the view
+// before this one here.
 std::vector<BucketNotice> ExportFor(const FlowShard& shard,
                                     membership::HostId host,
-                                    bool is_empty_handed,
+                                    uint64_t known_view,
                                     Instant now);
 
 // Services that this host holds and that are not new.
--- a/include/acaciahold/Steering/plan.h
+++ b/include/acaciahold/Steering/plan.h
@@ -26,10 +26,11 @@
 // An entry host that is not known to be gone.
 struct PlanHost {
   membership::HostId id = 0;
-  std::string failure_domain;
-  Endpoint peer;
-  Endpoint admin;
+  std::string failure_domain = {};
+  Endpoint peer = {};
+  Endpoint admin = {};
   bool is_suspect = false;
+  bool is_leaving = false;  // Takes no rank.
 };
 
 // The hosts that answer for a bucket. The owner decides; the backup holds the
@@ -84,6 +85,7 @@
   const upstream::Registry* registry = nullptr;
   std::span<const membership::MemberUpdate> members;
   membership::HostId self = 0;
+  bool is_leaving = false;  // This host answers for nothing any more.
 };
 
 // Flow services only. Makes cells that are missing.
@@ -105,6 +107,11 @@
                 uint64_t key,
                 std::string_view failure_domain);
 
+// As RankHosts over all hosts, with the backup in another failure domain than
+// the owner where there is one: the loss of a whole failure domain then leaves
+// one of the two.
+Route RankApart(std::span<const PlanHost> hosts, uint64_t key);
+
 }  // namespace acaciahold::steering
 
 #endif  // ACACIAHOLD_STEERING_PLAN_H_
--- a/lib/Entry/entry.cc
+++ b/lib/Entry/entry.cc
@@ -12,7 +12,7 @@
 
 using membership::HostId;
 
-constexpr size_t kMaxUpstreamsPerProbe = 4;
+constexpr size_t kMaxUpstreamsPerProbe = 10;
 constexpr size_t kIpAndUdpBytes = 28;
 
 wire::Gossip MakeGossip(ControlState& control, membership::Probe probe) {
@@ -109,10 +109,7 @@
                 bool needs_all,
                 Instant now) {
   auto& pulls = control.pulls;
-  bool was_running = pulls.is_running;
-  bool is_empty_handed = !before || was_running;
   pulls.is_running = true;
-  pulls.is_empty_handed = needs_all ? is_empty_handed : pulls.is_empty_handed;
   pulls.retry_deadline = now;
   if (needs_all) {
     pulls.waiting_for.clear();
@@ -138,7 +135,8 @@
   auto& control = entry.control;
   auto members = membership::Snapshot(control.membership);
   steering::PlanInputs inputs{&control.table, &control.registry, members,
-                              control.membership.self.id};
+                              control.membership.self.id,
+                              control.membership.is_leaving};
   auto before = control.plan;
   DropUnusedCells(control);
   control.plan = steering::BuildPlan(inputs, control.cells,
@@ -161,6 +159,8 @@
   bool was_running = control.pulls.is_running;
   if (has_added || (needs_pull && (has_new_view || !was_running))) {
     StartPulls(control, before.get(), needs_pull, now);
+  } else if (!was_running) {
+    control.known_view = control.plan->view;
   }
 }
 
@@ -173,6 +173,7 @@
     steering::OnPullsDone(shard, held, now);
   }
   pulls = {};
+  entry.control.known_view = entry.control.plan->view;
 }
 
 void ContinuePulls(Entry& entry, Instant now, Actions& actions) {
@@ -196,7 +197,7 @@
     if (const auto* member = FindMember(control, id)) {
       actions.pull_handoffs.push_back({id, member->known.host.admin,
                                        control.plan->view,
-                                       pulls.is_empty_handed});
+                                       control.known_view});
     }
   }
 }
@@ -447,7 +448,7 @@
   for (auto& shard : entry.shards) {
     std::lock_guard shard_lock(shard.mutex);
     auto notices = steering::ExportFor(shard, request.host,
-                                       request.is_empty_handed, now);
+                                       request.known_view, now);
     std::move(notices.begin(), notices.end(),
               std::back_inserter(handoff.buckets));
     auto services = steering::HeldServices(shard, now);
--- a/lib/Host/entry_shell.cc
+++ b/lib/Host/entry_shell.cc
@@ -208,7 +208,7 @@
       Get("/v1/handoff?host=" + std::to_string(id) +
           "&incarnation=" + std::to_string(incarnation) +
           "&view=" + std::to_string(pull.view) +
-          "&empty_handed=" + std::to_string(pull.is_empty_handed)),
+          "&known_view=" + std::to_string(pull.known_view)),
       ReadClock() + kPullTimeout);
   if (result.end != http::FetchEnd::kAnswer ||
       result.response.result() != Status::ok) {
@@ -266,8 +266,7 @@
   request.host = ReadNumber(http::QueryParameter(target, "host"));
   request.incarnation = ReadNumber(http::QueryParameter(target, "incarnation"));
   request.view = ReadNumber(http::QueryParameter(target, "view"));
-  request.is_empty_handed =
-      http::QueryParameter(target, "empty_handed") == "1";
+  request.known_view = ReadNumber(http::QueryParameter(target, "known_view"));
   auto handoff = entry::MakeHandoff(*entry_, request, ReadClock());
   if (!handoff) {
     return http::MakeProblem(Status::service_unavailable, "unknown-host",
--- a/lib/Membership/membership.cc
+++ b/lib/Membership/membership.cc
@@ -239,6 +239,13 @@
   }
 }
 
+// Whether the sender began its life unseen: it knows only its seeds then.
+bool IsNewLife(const Membership& membership, const Probe& probe) {
+  auto it = membership.members.find(probe.from);
+  return it == membership.members.end() ||
+         it->second.known.host.incarnation < probe.from_incarnation;
+}
+
 void OnAck(Membership& membership, const Probe& probe, Output& output) {
   auto it = std::find_if(
       membership.pings.begin(), membership.pings.end(),
@@ -311,6 +318,7 @@
                Endpoint from,
                Instant now) {
   Output output;
+  bool is_new_life = IsNewLife(membership, probe);
   for (const auto& update : probe.updates) {
     LearnOne(membership, update, now, output);
   }
@@ -318,8 +326,10 @@
   switch (probe.kind) {
     case ProbeKind::kPing: {
       auto ack = MakeProbe(membership, ProbeKind::kAck, probe.sequence);
-      if (ack.view_digest != probe.view_digest &&
-          !membership.members.contains(probe.from)) {
+      bool differs = ack.view_digest != probe.view_digest &&
+                     now >= membership.snapshot_deadline;
+      if (is_new_life || differs) {
+        membership.snapshot_deadline = now + kSnapshotInterval;
         ack.updates = Snapshot(membership);
       }
       output.probes.push_back({from, std::move(ack)});
--- a/lib/Steering/flow_shard.cc
+++ b/lib/Steering/flow_shard.cc
@@ -525,6 +525,14 @@
       ++it;
       continue;
     }
+    bool is_backup = !bucket.is_owned && bucket.phase == BucketPhase::kHeld;
+    if (is_backup && it->second.upstream != bucket.assigned) {
+      // Its packets go to the owner now: it lives on here as a copy.
+      Release(service, it->second);
+      it->second.is_counted = false;
+      ++it;
+      continue;
+    }
     if (it->second.upstream != bucket.assigned) {
       ended.push_back(it->first);
     }
@@ -772,14 +780,14 @@
 
 std::vector<BucketNotice> ExportFor(const FlowShard& shard,
                                     membership::HostId host,
-                                    bool is_empty_handed,
+                                    uint64_t known_view,
                                     Instant now) {
   std::vector<BucketNotice> notices;
   if (!shard.plan) {
     return notices;
   }
   const Plan& plan = *shard.plan;
-  membership::HostId self = plan.hosts[plan.self].id;
+  bool is_one_behind = shard.previous && shard.previous->view == known_view;
   for (const auto& [service_id, held] : shard.services) {
     const auto* service = FindService(plan, service_id);
     if (!service) {
@@ -789,11 +797,12 @@
       uint32_t index = BucketAt(shard, i);
       const auto& bucket = held.buckets[i];
       const auto& route = service->routes[index];
-      bool is_told = bucket.is_owned || bucket.was_primary ||
-                     (is_empty_handed && IsIn(plan, route, self));
+      // Where several changes came close together, whoever still has the bucket
+      // tells of it: the host that should have it may have got nothing yet.
+      bool is_told = bucket.is_owned || bucket.was_primary || !is_one_behind;
       bool is_asked =
           IsIn(plan, route, host) &&
-          (is_empty_handed ||
+          (!is_one_behind ||
            !WasIn(shard.previous.get(), service_id, index, host));
       if (is_told && is_asked && bucket.phase != BucketPhase::kEmpty) {
         notices.push_back(StateOf(bucket, service_id, index, now));
--- a/lib/Steering/plan.cc
+++ b/lib/Steering/plan.cc
@@ -72,7 +72,7 @@
   service->desired = AssignBuckets(service->id, candidates);
   for (uint32_t b = 0; b < kBucketsPerService; ++b) {
     service->routes.push_back(
-        RankHosts(plan.hosts, CombineHashes(service->id, b), ""));
+        RankApart(plan.hosts, CombineHashes(service->id, b)));
   }
   return service;
 }
@@ -86,7 +86,9 @@
   uint64_t best = 0;
   uint64_t second = 0;
   for (size_t i = 0; i < hosts.size(); ++i) {
-    if (!failure_domain.empty() && hosts[i].failure_domain != failure_domain) {
+    bool is_elsewhere = !failure_domain.empty() &&
+                        hosts[i].failure_domain != failure_domain;
+    if (is_elsewhere || hosts[i].is_leaving) {
       continue;
     }
     uint64_t score = RendezvousScore(key, hosts[i].id);
@@ -104,6 +106,29 @@
   return route;
 }
 
+Route RankApart(std::span<const PlanHost> hosts, uint64_t key) {
+  Route route = RankHosts(hosts, key, "");
+  if (route.owner == kNoHost) {
+    return route;
+  }
+  uint64_t best = 0;
+  bool has_other = false;
+  for (size_t i = 0; i < hosts.size(); ++i) {
+    bool is_near =
+        hosts[i].failure_domain == hosts[route.owner].failure_domain;
+    if (is_near || hosts[i].is_leaving) {
+      continue;
+    }
+    uint64_t score = RendezvousScore(key, hosts[i].id);
+    if (!has_other || score > best) {
+      route.backup = static_cast<HostIndex>(i);
+      best = score;
+      has_other = true;
+    }
+  }
+  return route;
+}
+
 std::shared_ptr<const Plan> BuildPlan(const PlanInputs& inputs,
                                       CellMap& cells,
                                       uint64_t epoch) {
@@ -117,7 +142,8 @@
     }
     plan->hosts.push_back({member.host.id, member.host.failure_domain,
                            member.host.peer, member.host.admin,
-                           member.state == membership::MemberState::kSuspect});
+                           member.state == membership::MemberState::kSuspect,
+                           inputs.is_leaving && member.host.id == inputs.self});
   }
   std::sort(plan->hosts.begin(), plan->hosts.end(),
             [](const auto& a, const auto& b) { return a.id < b.id; });
@@ -128,7 +154,9 @@
   }
   AssertInvariant(plan->self != kNoHost, "a plan holds its own host");
   for (const auto& host : plan->hosts) {
-    plan->view = CombineHashes(plan->view, host.id);
+    if (!host.is_leaving) {
+      plan->view = CombineHashes(plan->view, host.id);
+    }
   }
   size_t lost = std::count_if(
       inputs.members.begin(), inputs.members.end(), [](const auto& member) {
--- a/lib/Upstream/registry.cc
+++ b/lib/Upstream/registry.cc
@@ -181,16 +181,22 @@
 }
 
 std::vector<Record> TakeNews(Registry& registry, size_t most) {
-  std::vector<Record> news;
+  std::vector<Entry*> waiting;
   for (auto& [key, entry] : registry.entries) {
-    if (news.size() == most) {
-      break;
-    }
     if (entry.sends_left > 0) {
-      --entry.sends_left;
-      news.push_back(entry.record);
+      waiting.push_back(&entry);
     }
   }
+  // What was sent least goes first, so that no news waits behind repeats.
+  std::stable_sort(waiting.begin(), waiting.end(), [](auto* a, auto* b) {
+    return a->sends_left > b->sends_left;
+  });
+  waiting.resize(std::min(waiting.size(), most));
+  std::vector<Record> news;
+  for (auto* entry : waiting) {
+    --entry->sends_left;
+    news.push_back(entry->record);
+  }
   return news;
 }
 
