--- a/bench/flow_model.cc
+++ b/bench/flow_model.cc
@@ -27,7 +27,8 @@
 constexpr uint32_t kIdleSeconds = 60;
 const Endpoint kFabric{(10U << 24U) | 99U, 1};
 
-std::vector<std::byte> BuildPacket(Endpoint caller, Endpoint service,
+std::vector<std::byte> BuildPacket(Endpoint caller,
+                                   Endpoint service,
                                    bool is_syn) {
   Tins::TCP tcp(service.port, caller.port);
   tcp.flags(is_syn ? Tins::TCP::SYN : Tins::TCP::ACK);
@@ -38,8 +39,11 @@
   return {begin, begin + buf.size()};
 }
 
-DeploymentSpec MakeSpec(const std::string& name, int hosts, int domains,
-                        Duration latency, double load) {
+DeploymentSpec MakeSpec(const std::string& name,
+                        int hosts,
+                        int domains,
+                        Duration latency,
+                        double load) {
   Endpoint first{(10U << 24U) | (9U << 16U) | 1U, 7000};
   Endpoint second{(10U << 24U) | (9U << 16U) | 2U, 7000};
   return {name,
@@ -84,8 +88,12 @@
   Host host;
   std::string name = "entry-" + std::to_string(index + 1);
   auto n = static_cast<uint32_t>(index + 1);
-  host.record = {membership::MakeHostId(name), name, DomainName(domain),
-                 {n, 1},                       {n, 2}, 0};
+  host.record = {membership::MakeHostId(name),
+                 name,
+                 DomainName(domain),
+                 {n, 1},
+                 {n, 2},
+                 0};
   hosts_.push_back(std::move(host));
   return index;
 }
@@ -175,8 +183,8 @@
   constexpr Duration kOpenTime = std::chrono::seconds(60);
   for (size_t s = 0; s < spec_.services.size(); ++s) {
     const auto& service = spec_.services[s];
-    auto count = static_cast<uint64_t>(service.upstreams *
-                                       service.connections * service.load);
+    auto count = static_cast<uint64_t>(service.upstreams * service.connections *
+                                       service.load);
     for (uint64_t i = 0; i < count; ++i) {
       AddFlow(s, now_ + kOpenTime * i / count);
     }
@@ -194,8 +202,8 @@
   Endpoint address = spec_.services[service].address;
   flow.syn = BuildPacket(flow.caller, address, true);
   flow.data = BuildPacket(flow.caller, address, false);
-  flow.fingerprint = packet::Fingerprint(
-      {packet::Protocol::kTcp, flow.caller, address});
+  flow.fingerprint =
+      packet::Fingerprint({packet::Protocol::kTcp, flow.caller, address});
   flow_of_caller_[flow.caller] = index;
   flows_.push_back(std::move(flow));
   schedule_.emplace(send_at, index);
@@ -348,9 +356,8 @@
   if (method_ == Method::kLocalTable) {
     host.flow_table[flow.fingerprint] = chosen;
   }
-  Post(spec_.latency, [this, chosen, flow_index] {
-    Arrive(chosen, flow_index);
-  });
+  Post(spec_.latency,
+       [this, chosen, flow_index] { Arrive(chosen, flow_index); });
 }
 
 void FlowModel::Post(Duration delay, std::function<void()> action) {
@@ -367,9 +374,9 @@
     size_t to = it.to.address - 1;
     Post(spec_.latency, [this, from, to, bytes = std::move(it.bytes)] {
       if (hosts_[to].is_up && CanReach(from, to)) {
-        Perform(to, entry::OnPeerDatagram(
-                        *hosts_[to].core, std::as_bytes(std::span(bytes)),
-                        hosts_[from].record.peer, now_));
+        Perform(to, entry::OnPeerDatagram(*hosts_[to].core,
+                                          std::as_bytes(std::span(bytes)),
+                                          hosts_[from].record.peer, now_));
       }
     });
   }
@@ -523,8 +530,7 @@
     EndFlow(flow, nullptr);
     if (method_ == Method::kAcaciahold) {
       auto bytes = flow.data;
-      Tins::IP ip(reinterpret_cast<const uint8_t*>(bytes.data()),
-                  bytes.size());
+      Tins::IP ip(reinterpret_cast<const uint8_t*>(bytes.data()), bytes.size());
       ip.find_pdu<Tins::TCP>()->flags(Tins::TCP::FIN | Tins::TCP::ACK);
       auto buf = ip.serialize();
       auto up = UpHosts();
@@ -547,8 +553,7 @@
     uint64_t bytes = host.bytes_carried +
                      host.core->counters.control_bytes_sent +
                      host.core->counters.control_bytes_received;
-    host.worst_second =
-        std::max(host.worst_second, bytes - host.bytes_before);
+    host.worst_second = std::max(host.worst_second, bytes - host.bytes_before);
     host.bytes_before = bytes;
   }
 }
@@ -581,8 +586,7 @@
       auto name = steering::ReasonName(static_cast<steering::Reason>(i));
       if (c.dropped[i] + c.refused[i] > 0) {
         std::printf(" %.*s %llu/%llu", static_cast<int>(name.size()),
-                    name.data(),
-                    static_cast<unsigned long long>(c.dropped[i]),
+                    name.data(), static_cast<unsigned long long>(c.dropped[i]),
                     static_cast<unsigned long long>(c.refused[i]));
       }
     }
@@ -599,8 +603,8 @@
   double sum = 0;
   for (const auto& host : hosts_) {
     sum += static_cast<double>(host.bytes_before);
-    tally.control_worst = std::max(tally.control_worst,
-                                   static_cast<double>(host.worst_second));
+    tally.control_worst =
+        std::max(tally.control_worst, static_cast<double>(host.worst_second));
   }
   tally.control_mean = sum / time.count() / spec_.hosts;
   return tally;
--- a/bench/flow_model.h
+++ b/bench/flow_model.h
@@ -22,9 +22,9 @@
 // How packets are steered: by the entry cores, or by a baseline.
 enum class Method {
   kAcaciahold,
-  kModulo,     // Hash modulo the number of serving upstreams.
-  kRendezvous, // Consistent hashing without state.
-  kLocalTable, // Rendezvous, and a flow table at each host alone.
+  kModulo,      // Hash modulo the number of serving upstreams.
+  kRendezvous,  // Consistent hashing without state.
+  kLocalTable,  // Rendezvous, and a flow table at each host alone.
 };
 
 struct ServiceSpec {
@@ -57,9 +57,9 @@
   uint64_t wrong_service = 0;  // Packets.
   uint64_t refused = 0;        // Opening packets.
   uint64_t lost = 0;           // Flows whose upstream or domain was given up.
-  uint64_t over_limit = 0;     // Times an upstream was given more than it bears.
-  double control_mean = 0;     // Bytes a second for each host, out and in.
-  double control_worst = 0;    // The worst host's worst second.
+  uint64_t over_limit = 0;   // Times an upstream was given more than it bears.
+  double control_mean = 0;   // Bytes a second for each host, out and in.
+  double control_worst = 0;  // The worst host's worst second.
 
   uint64_t Broken() const { return moved + reset + stalled; }
 };
@@ -81,8 +81,8 @@
   void PlannedChange(uint64_t turn);
 
   // Faults.
-  size_t KillHost();                  // Returns the host's index.
-  void ReviveHost(size_t host);       // With nothing remembered.
+  size_t KillHost();             // Returns the host's index.
+  void ReviveHost(size_t host);  // With nothing remembered.
   void RestartUpstreamSilently();
   void CutDomain(const std::string& domain, bool is_cut);
   void TakeDomain(const std::string& domain, bool is_out);
@@ -105,7 +105,7 @@
     upstream::Announcement said;
     bool is_up = true;
     uint32_t open = 0;
-    uint32_t bears = 0;       // Now; grows while it warms by its own clock.
+    uint32_t bears = 0;  // Now; grows while it warms by its own clock.
     Instant warm_at;
   };
   struct Flow {
--- a/bench/flows.cc
+++ b/bench/flows.cc
@@ -27,8 +27,12 @@
                                     {Method::kRendezvous, "rendezvous"},
                                     {Method::kLocalTable, "local-table"}};
 
-void Print(const std::string& scenario, const std::string& deployment,
-           const char* method, uint64_t seed, uint64_t open, Tally tally) {
+void Print(const std::string& scenario,
+           const std::string& deployment,
+           const char* method,
+           uint64_t seed,
+           uint64_t open,
+           Tally tally) {
   std::printf(
       "%-22s %-8s %-11s seed %-3llu open %6llu  broken %6llu (moved %llu reset "
       "%llu stalled %llu) wrong-service %llu lost %llu refused %llu over-limit "
@@ -49,8 +53,10 @@
 }
 
 // Runs a scenario for every method.
-void Compare(const std::string& name, const DeploymentSpec& spec,
-             uint64_t seed, bool with_baselines,
+void Compare(const std::string& name,
+             const DeploymentSpec& spec,
+             uint64_t seed,
+             bool with_baselines,
              const std::function<void(FlowModel&)>& scenario) {
   for (const auto& method : kMethods) {
     if (method.method != Method::kAcaciahold && !with_baselines) {
--- a/include/acaciahold/Admission/share.h
+++ b/include/acaciahold/Admission/share.h
@@ -80,7 +80,7 @@
   uint32_t held = 0;      // What the coordinator last let this host hold.
   uint32_t recorded = 0;  // What the backup has confirmed.
   bool has_backup = false;
-  Instant sent_at;  // Of the newest report.
+  Instant sent_at;           // Of the newest report.
   bool is_answered = false;  // The newest report was.
   Instant report_deadline;
   Instant earliest_report;
--- a/include/acaciahold/Steering/flow_shard.h
+++ b/include/acaciahold/Steering/flow_shard.h
@@ -43,7 +43,7 @@
   uint32_t version = 0;
   upstream::UpstreamId assigned = 0;
   std::vector<FlowException> added;
-  std::vector<uint64_t> removed;
+  std::vector<uint64_t> removed = {};
   // In a bucket's whole state: the sender knows every flow of the bucket, and
   // there is none. Nothing quiet is left behind then.
   bool is_idle = false;
@@ -102,7 +102,7 @@
 struct FlowShard {
   mutable std::mutex mutex;
   uint32_t index = 0;
-  std::shared_ptr<const Plan> plan;  // Null until the first plan.
+  std::shared_ptr<const Plan> plan;      // Null until the first plan.
   std::shared_ptr<const Plan> previous;  // The last one of another view.
   // Hosts came back that may know flows of this host's buckets.
   bool is_uniting = false;
@@ -117,8 +117,8 @@
   bool opens = false;
   bool closes = false;
   bool is_tcp = true;
-  uint32_t hops = 0;       // Entry hosts that passed it on before.
-  bool is_acting = false;  // The sender wants this host to decide.
+  uint32_t hops = 0;         // Entry hosts that passed it on before.
+  bool is_acting = false;    // The sender wants this host to decide.
   uint64_t sender_view = 0;  // Of the host that passed it on.
 };
 
--- a/lib/Admission/ledger.cc
+++ b/lib/Admission/ledger.cc
@@ -80,7 +80,8 @@
   return grant;
 }
 
-LedgerEntry* FindForRenewal(Ledger& ledger, uint64_t host,
+LedgerEntry* FindForRenewal(Ledger& ledger,
+                            uint64_t host,
                             uint64_t incarnation) {
   auto it = ledger.entries.find(host);
   if (it == ledger.entries.end() || it->second.incarnation != incarnation ||
--- a/lib/Admission/share.cc
+++ b/lib/Admission/share.cc
@@ -88,8 +88,11 @@
   return now >= (is_urgent ? share.earliest_report : share.report_deadline);
 }
 
-bool IsRenewable(const Share& share, const ShareCell& cell, uint32_t headroom,
-                 bool is_warm, Instant now) {
+bool IsRenewable(const Share& share,
+                 const ShareCell& cell,
+                 uint32_t headroom,
+                 bool is_warm,
+                 Instant now) {
   uint32_t open = OpenFlows(cell);
   bool is_news = cell.failures.load(std::memory_order_relaxed) > 0 ||
                  (!is_warm && cell.successes.load(std::memory_order_relaxed));
@@ -103,7 +106,9 @@
          !cell.is_wanting.load(std::memory_order_relaxed);
 }
 
-uint64_t RenewalPart(uint64_t service, uint64_t upstream, uint64_t sequence,
+uint64_t RenewalPart(uint64_t service,
+                     uint64_t upstream,
+                     uint64_t sequence,
                      uint32_t held) {
   return CombineHashes(CombineHashes(service, upstream),
                        CombineHashes(sequence, held));
--- a/lib/Entry/entry.cc
+++ b/lib/Entry/entry.cc
@@ -196,8 +196,7 @@
   for (HostId id : pulls.waiting_for) {
     if (const auto* member = FindMember(control, id)) {
       actions.pull_handoffs.push_back({id, member->known.host.admin,
-                                       control.plan->view,
-                                       control.known_view});
+                                       control.plan->view, control.known_view});
     }
   }
 }
@@ -216,13 +215,14 @@
 // Whether a member was lost lately that may only be cut off. Buckets then stay
 // where they are, so that both sides agree when they meet again.
 bool HasLostHost(const membership::Membership& membership, Instant now) {
-  return std::any_of(
-      membership.members.begin(), membership.members.end(),
-      [&](const auto& it) {
-        Instant lost_at = it.second.forget_deadline - membership::kForgetTimeout;
-        return it.second.known.state == membership::MemberState::kDead &&
-               now < lost_at + kMoveStopAfterLoss;
-      });
+  return std::any_of(membership.members.begin(), membership.members.end(),
+                     [&](const auto& it) {
+                       Instant lost_at = it.second.forget_deadline -
+                                         membership::kForgetTimeout;
+                       return it.second.known.state ==
+                                  membership::MemberState::kDead &&
+                              now < lost_at + kMoveStopAfterLoss;
+                     });
 }
 
 void MoveBuckets(Entry& entry, Instant now) {
@@ -447,8 +447,8 @@
   std::set<uint64_t> held;
   for (auto& shard : entry.shards) {
     std::lock_guard shard_lock(shard.mutex);
-    auto notices = steering::ExportFor(shard, request.host,
-                                       request.known_view, now);
+    auto notices =
+        steering::ExportFor(shard, request.host, request.known_view, now);
     std::move(notices.begin(), notices.end(),
               std::back_inserter(handoff.buckets));
     auto services = steering::HeldServices(shard, now);
--- a/lib/Entry/shares.cc
+++ b/lib/Entry/shares.cc
@@ -111,9 +111,8 @@
                ShareState& state,
                Instant now,
                Outbox& outbox) {
-  auto report =
-      admission::MakeReport(state.share, *place.target->cell,
-                            HeadroomOf(control, *place.target), now);
+  auto report = admission::MakeReport(state.share, *place.target->cell,
+                                      HeadroomOf(control, *place.target), now);
   Address(control, place, report);
   outbox[state.coordinator].reports.push_back(report);
   if (state.backup != 0 && state.share.recorded != state.share.held) {
@@ -133,17 +132,17 @@
   if (!is_used || state.coordinator == 0) {
     return;
   }
-  bool is_renewable = admission::IsRenewable(
-      state.share, cell, HeadroomOf(control, *place.target),
-      place.target->is_warm, now);
+  bool is_renewable = admission::IsRenewable(state.share, cell,
+                                             HeadroomOf(control, *place.target),
+                                             place.target->is_warm, now);
   auto& renewal = control.renewals[state.coordinator];
   bool is_renewal_due = now >= renewal.deadline;
   if (is_renewable) {
     if (is_renewal_due) {
       auto& message = outbox[state.coordinator];
-      message.renewal ^= admission::RenewalPart(
-          place.service->id, place.target->id, state.share.sequence,
-          state.share.held);
+      message.renewal ^=
+          admission::RenewalPart(place.service->id, place.target->id,
+                                 state.share.sequence, state.share.held);
       message.renewal_number = renewal.number + 1;
       renewal.shares.push_back({place.service->name, place.target->id});
     }
@@ -244,8 +243,7 @@
   }
   std::vector<admission::LedgerEntry*> entries;
   grants.renewed_number = message.renewal_number;
-  grants.is_renewed =
-      RenewalHere(control, message, entries) == message.renewal;
+  grants.is_renewed = RenewalHere(control, message, entries) == message.renewal;
   if (!grants.is_renewed) {
     return;
   }
--- a/lib/Host/entry_shell.cc
+++ b/lib/Host/entry_shell.cc
@@ -205,9 +205,8 @@
   auto id = membership::MakeHostId(settings_.name);
   auto result = co_await client_.Fetch(
       pull.admin,
-      Get("/v1/handoff?host=" + std::to_string(id) +
-          "&incarnation=" + std::to_string(incarnation) +
-          "&view=" + std::to_string(pull.view) +
+      Get("/v1/handoff?host=" + std::to_string(id) + "&incarnation=" +
+          std::to_string(incarnation) + "&view=" + std::to_string(pull.view) +
           "&known_view=" + std::to_string(pull.known_view)),
       ReadClock() + kPullTimeout);
   if (result.end != http::FetchEnd::kAnswer ||
--- a/lib/Request/routes.cc
+++ b/lib/Request/routes.cc
@@ -111,6 +111,9 @@
   uint64_t rank_key = CombineHashes(HashText(service), HashText(key));
   std::vector<std::pair<uint64_t, KeyHost>> ranked;
   for (const auto& host : routes.hosts) {
+    if (host.is_leaving) {
+      continue;
+    }
     ranked.emplace_back(steering::RendezvousScore(rank_key, host.id),
                         KeyHost{host.id, host.admin, host.id == routes.self});
   }
--- a/lib/Steering/flow_shard.cc
+++ b/lib/Steering/flow_shard.cc
@@ -165,8 +165,8 @@
       weight += it.weight;
     }
   }
-  double mean = static_cast<double>(open) * target.weight /
-                static_cast<double>(weight);
+  double mean =
+      static_cast<double>(open) * target.weight / static_cast<double>(weight);
   return admission::OpenFlows(*target.cell) >
          mean * kMaxOverMean + kOverMeanSlack;
 }
@@ -229,8 +229,7 @@
 // an earlier owner, on the assigned upstream, since exceptions are known.
 Decision AdoptFlow(Context& c) {
   const auto* target = FindTarget(c.service, c.bucket.assigned);
-  bool is_other_view =
-      c.packet.hops > 0 && c.packet.sender_view != c.plan.view;
+  bool is_other_view = c.packet.hops > 0 && c.packet.sender_view != c.plan.view;
   bool is_in_doubt = is_other_view || c.shard.is_uniting ||
                      (c.bucket.is_blind && c.plan.is_minority);
   if (is_in_doubt || !target || !target->is_usable) {
@@ -282,6 +281,9 @@
   if (packet.is_acting || decider == plan.self) {
     return std::nullopt;
   }
+  if (decider == kNoHost) {
+    return Drop(Reason::kSettling);  // Every host is leaving.
+  }
   if (packet.hops >= kMaxHops) {
     return Drop(Reason::kTooManyHops);
   }
@@ -331,8 +333,8 @@
               const ServicePlan& service,
               bool is_new,
               Instant now) {
-  bucket.is_blind = !is_new && !bucket.is_merged &&
-                    bucket.phase == BucketPhase::kEmpty;
+  bucket.is_blind =
+      !is_new && !bucket.is_merged && bucket.phase == BucketPhase::kEmpty;
   bucket.phase = BucketPhase::kHeld;
   bool is_settled = is_new || bucket.was_idle;
   bucket.settled_at = is_settled ? now : now + service.idle_timeout;
@@ -343,8 +345,7 @@
                  const Plan& plan,
                  uint64_t service_id,
                  uint32_t index) {
-  const auto* service =
-      previous ? FindService(*previous, service_id) : nullptr;
+  const auto* service = previous ? FindService(*previous, service_id) : nullptr;
   if (!service || service->routes[index].owner == kNoHost) {
     return false;
   }
@@ -421,8 +422,7 @@
                        uint32_t index,
                        UpstreamId moving_to) {
   BucketNotice notice;
-  bucket.offered_version =
-      std::max(bucket.version, bucket.offered_version) + 1;
+  bucket.offered_version = std::max(bucket.version, bucket.offered_version) + 1;
   notice.service = service;
   notice.bucket = static_cast<uint16_t>(index);
   notice.version = bucket.offered_version;
@@ -652,8 +652,8 @@
   for (const auto& service : shard.plan->services) {
     auto& buckets = BucketsOf(shard, service->id);
     for (uint32_t i = 0; i < kBucketsPerShard && bytes < max_bytes; ++i) {
-      auto notice = StartMove(buckets[i], *service, BucketAt(shard, i),
-                              may_move, now);
+      auto notice =
+          StartMove(buckets[i], *service, BucketAt(shard, i), may_move, now);
       if (notice) {
         bytes += NoticeBytes(*notice);
         notices.push_back(std::move(*notice));
@@ -771,8 +771,7 @@
            uint64_t service_id,
            uint32_t index,
            membership::HostId host) {
-  const auto* service =
-      previous ? FindService(*previous, service_id) : nullptr;
+  const auto* service = previous ? FindService(*previous, service_id) : nullptr;
   return service && IsIn(*previous, service->routes[index], host);
 }
 
@@ -800,10 +799,9 @@
       // Where several changes came close together, whoever still has the bucket
       // tells of it: the host that should have it may have got nothing yet.
       bool is_told = bucket.is_owned || bucket.was_primary || !is_one_behind;
-      bool is_asked =
-          IsIn(plan, route, host) &&
-          (!is_one_behind ||
-           !WasIn(shard.previous.get(), service_id, index, host));
+      bool is_asked = IsIn(plan, route, host) &&
+                      (!is_one_behind ||
+                       !WasIn(shard.previous.get(), service_id, index, host));
       if (is_told && is_asked && bucket.phase != BucketPhase::kEmpty) {
         notices.push_back(StateOf(bucket, service_id, index, now));
       }
--- a/lib/Steering/plan.cc
+++ b/lib/Steering/plan.cc
@@ -86,8 +86,8 @@
   uint64_t best = 0;
   uint64_t second = 0;
   for (size_t i = 0; i < hosts.size(); ++i) {
-    bool is_elsewhere = !failure_domain.empty() &&
-                        hosts[i].failure_domain != failure_domain;
+    bool is_elsewhere =
+        !failure_domain.empty() && hosts[i].failure_domain != failure_domain;
     if (is_elsewhere || hosts[i].is_leaving) {
       continue;
     }
@@ -114,8 +114,7 @@
   uint64_t best = 0;
   bool has_other = false;
   for (size_t i = 0; i < hosts.size(); ++i) {
-    bool is_near =
-        hosts[i].failure_domain == hosts[route.owner].failure_domain;
+    bool is_near = hosts[i].failure_domain == hosts[route.owner].failure_domain;
     if (is_near || hosts[i].is_leaving) {
       continue;
     }
--- a/lib/Wire/peer_message.cc
+++ b/lib/Wire/peer_message.cc
@@ -309,8 +309,8 @@
   state.upstream = from.upstream();
   for (const auto& it : from.entries()) {
     state.ledger.entries[it.host()] = {it.incarnation(), it.sequence(),
-                                       it.amount(), it.held(), Instant(),
-                                       false};
+                                       it.amount(),      it.held(),
+                                       Instant(),        false};
   }
   for (const auto& it : from.frozen()) {
     state.ledger.frozen[{it.host(), it.incarnation()}] = {
--- a/test/quickstart/main.cc
+++ b/test/quickstart/main.cc
@@ -216,6 +216,7 @@
     host.process->Signal(SIGTERM);
     bad_exits += host.process->Wait() != 0;
   }
+  std::printf("  hosts that did not exit cleanly %d\n", bad_exits);
   bool is_good = report.Broken() == 0 && report.wrong_service == 0 &&
                  late == 0 && counts.other + return_counts.other == 0 &&
                  fleet_report.ran_twice == 0 && bad_exits == 0;
