--- a/include/acaciahold/Host/request_shell.h
+++ b/include/acaciahold/Host/request_shell.h
@@ -92,6 +92,7 @@
     Instant deadline;
     http::Request request;
     std::string id;  // For attempts, traces and histories.
+    std::string trace;  // Context of the span that this hop belongs to.
   };
 
   // A running keyed request that any number of callers wait for.
--- a/include/acaciahold/Observe/tracing.h
+++ b/include/acaciahold/Observe/tracing.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include <opentracing/tracer.h>
 
@@ -17,6 +18,19 @@
 Result<std::shared_ptr<opentracing::Tracer>> MakeTracer(
     const std::string& path);
 
+// The header that carries a span's context from host to host.
+inline constexpr std::string_view kTraceHeader = "Acaciahold-Trace";
+
+// The context as a header's value; empty where the tracer records nothing.
+std::string InjectContext(const opentracing::Span& span);
+
+// Starts a span as the child of the one that the header's value names, or as
+// the first of a trace where there is none.
+std::unique_ptr<opentracing::Span> StartChildSpan(
+    opentracing::Tracer& tracer,
+    const std::string& operation,
+    const std::string& context);
+
 }  // namespace acaciahold::observe
 
 #endif  // ACACIAHOLD_OBSERVE_TRACING_H_
--- a/lib/Host/request_dispatch.cc
+++ b/lib/Host/request_dispatch.cc
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "acaciahold/Observe/tracing.h"
 #include "request_run.h"
 
 namespace acaciahold::host {
@@ -226,7 +227,7 @@
     const request::LocalTarget& target,
     uint32_t attempt) {
   std::string name = call.id + "-" + std::to_string(attempt);
-  auto span = tracer_->StartSpan("attempt");
+  auto span = observe::StartChildSpan(*tracer_, "attempt", call.trace);
   span->SetTag("request", call.id);
   span->SetTag("upstream", FormatEndpoint(target.endpoint));
   http::Request request = call.request;
--- a/lib/Host/request_relay.cc
+++ b/lib/Host/request_relay.cc
@@ -6,7 +6,7 @@
 
 #include <boost/json.hpp>
 
-#include "acaciahold/Table/table_json.h"
+#include "acaciahold/Observe/tracing.h"
 #include "request_run.h"
 
 namespace acaciahold::host {
@@ -201,6 +201,7 @@
   relay.set(kIdHeader, call.id);
   relay.set(kHashHeader, std::to_string(call.request_hash));
   relay.set(http::kDeadlineHeader, std::to_string(ToUnixMillis(call.deadline)));
+  relay.set(observe::kTraceHeader, call.trace);
   if (!call.key.empty()) {
     relay.set(kRelayKeyHeader, call.key);
   }
@@ -227,6 +228,7 @@
   call.key = HeaderOr(request, kRelayKeyHeader);
   call.request_hash = ReadNumber(HeaderOr(request, kHashHeader));
   call.id = HeaderOr(request, kIdHeader);
+  call.trace = HeaderOr(request, observe::kTraceHeader);
   call.deadline = FromUnixMillis(static_cast<int64_t>(
       ReadNumber(HeaderOr(request, http::kDeadlineHeader))));
   call.request.method_string(HeaderOr(request, kMethodHeader));
--- a/lib/Host/request_shell.cc
+++ b/lib/Host/request_shell.cc
@@ -15,6 +15,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
+#include "acaciahold/Observe/tracing.h"
 #include "acaciahold/Support/hash.h"
 #include "request_run.h"
 
@@ -184,6 +185,7 @@
   auto span = tracer_->StartSpan("request");
   span->SetTag("service", call.service);
   span->SetTag("request", call.id);
+  call.trace = observe::InjectContext(*span);
   auto outcome = co_await Route(std::move(call));
   span->SetTag("state", static_cast<int>(outcome.state));
   co_return ToCaller(outcome);
@@ -419,9 +421,10 @@
   if (choice.is_local) {
     co_return co_await DispatchHere(call, attempt);
   }
-  auto span = tracer_->StartSpan("relay");
+  auto span = observe::StartChildSpan(*tracer_, "relay", call.trace);
   span->SetTag("request", call.id);
   auto relay = ToRelay(call, "/v1/relay/dispatch");
+  relay.set(observe::kTraceHeader, observe::InjectContext(*span));
   relay.set(kNumberHeader, std::to_string(attempt));
   auto result = co_await client_.Fetch(choice.remote.admin, std::move(relay),
                                        call.deadline);
@@ -460,6 +463,9 @@
 
 asio::awaitable<Response> RequestShell::OnKeyed(const http::Request& request) {
   auto call = FromRelay(request);
+  auto span = observe::StartChildSpan(*tracer_, "key-owner", call.trace);
+  span->SetTag("request", call.id);
+  call.trace = observe::InjectContext(*span);
   if (request.find(kLookupHeader) != request.end()) {
     co_return ToOutcomeAnswer(AnswerFromRecord(call));
   }
--- a/lib/Observe/tracing.cc
+++ b/lib/Observe/tracing.cc
@@ -4,6 +4,7 @@
 
 #include <fstream>
 #include <mutex>
+#include <sstream>
 #include <vector>
 
 #include <opentracing/mocktracer/json.h>
@@ -35,8 +36,61 @@
   std::ofstream out_;  // Guarded by mutex_.
 };
 
+// Binary contexts travel as hexadecimal text.
+std::string ToHex(std::string_view bytes) {
+  constexpr char kDigits[] = "0123456789abcdef";
+  std::string text;
+  for (char c : bytes) {
+    auto byte = static_cast<unsigned char>(c);
+    text += kDigits[byte >> 4U];
+    text += kDigits[byte & 15U];
+  }
+  return text;
+}
+
+int DigitOf(char c) {
+  if (c >= '0' && c <= '9') {
+    return c - '0';
+  }
+  return c >= 'a' && c <= 'f' ? c - 'a' + 10 : -1;
+}
+
+// Empty where the text is not hexadecimal.
+std::string FromHex(std::string_view text) {
+  std::string bytes;
+  for (size_t i = 0; i + 1 < text.size(); i += 2) {
+    int high = DigitOf(text[i]);
+    int low = DigitOf(text[i + 1]);
+    if (high < 0 || low < 0) {
+      return "";
+    }
+    bytes += static_cast<char>(high * 16 + low);
+  }
+  return bytes;
+}
+
 }  // namespace
 
+std::string InjectContext(const opentracing::Span& span) {
+  std::ostringstream out;
+  if (!span.tracer().Inject(span.context(), out)) {
+    return "";
+  }
+  return ToHex(out.str());
+}
+
+std::unique_ptr<opentracing::Span> StartChildSpan(
+    opentracing::Tracer& tracer,
+    const std::string& operation,
+    const std::string& context) {
+  std::istringstream in(FromHex(context));
+  auto parent = tracer.Extract(in);
+  if (context.empty() || !parent || !*parent) {
+    return tracer.StartSpan(operation);
+  }
+  return tracer.StartSpan(operation, {opentracing::ChildOf(parent->get())});
+}
+
 Result<std::shared_ptr<opentracing::Tracer>> MakeTracer(
     const std::string& path) {
   if (path.empty()) {
