--- a/bench/decision.cc
+++ b/bench/decision.cc
@@ -1,11 +1,10 @@
 // The cost of one packet's decision at an entry host, with few and with many
 // flows held, and the memory of a held flow.
 
-#include <malloc.h>
-
 #include <random>
 
 #include <benchmark/benchmark.h>
+#include <malloc.h>
 
 #include "acaciahold/Steering/flow_shard.h"
 #include "acaciahold/Upstream/registry.h"
@@ -31,22 +30,16 @@
     table.revision = 1;
     table.rows = {row};
     for (uint32_t n = 1; n <= kUpstreams; ++n) {
-      upstream::OnAnnouncement(registry,
-                               {"feed",
-                                {n, 80},
-                                "fd1",
-                                0,
-                                0,
-                                1,
-                                upstream::Phase::kServing},
-                               kNow);
+      upstream::OnAnnouncement(
+          registry,
+          {"feed", {n, 80}, "fd1", 0, 0, 1, upstream::Phase::kServing}, kNow);
     }
     std::vector<membership::MemberUpdate> members{
         {{1, "h", "fd1", {1, 1}, {1, 2}, 1},
          membership::MemberState::kAlive,
          0}};
-    plan = steering::BuildPlan({&table, &registry, members, 1, false}, cells,
-                               1);
+    plan =
+        steering::BuildPlan({&table, &registry, members, 1, false}, cells, 1);
     for (auto& [key, cell] : cells) {
       cell->counts = uint64_t{10'000'000} << 32U;
       cell->lease_deadline = INT64_MAX;
@@ -73,8 +66,7 @@
     auto& shard = shards[steering::ShardOf(bucket)];
     std::lock_guard lock(shard.mutex);
     return steering::Decide(shard, *plan->services[0],
-                            {.fingerprint = fingerprint, .opens = opens},
-                            kNow);
+                            {.fingerprint = fingerprint, .opens = opens}, kNow);
   }
 
   std::mt19937_64 random;
@@ -89,8 +81,7 @@
 
 void DecideKnownFlow(benchmark::State& state) {
   HeldFlows held(static_cast<uint64_t>(state.range(0)));
-  std::uniform_int_distribution<size_t> spread(0,
-                                               held.fingerprints.size() - 1);
+  std::uniform_int_distribution<size_t> spread(0, held.fingerprints.size() - 1);
   std::mt19937_64 random(kSeed);
   for (auto unused : state) {
     benchmark::DoNotOptimize(
--- a/include/acaciahold/Host/request_shell.h
+++ b/include/acaciahold/Host/request_shell.h
@@ -91,7 +91,7 @@
     uint64_t request_hash = 0;
     Instant deadline;
     http::Request request;
-    std::string id;  // For attempts, traces and histories.
+    std::string id;     // For attempts, traces and histories.
     std::string trace;  // Context of the span that this hop belongs to.
   };
 
--- a/include/acaciahold/Observe/tracing.h
+++ b/include/acaciahold/Observe/tracing.h
@@ -26,10 +26,9 @@
 
 // Starts a span as the child of the one that the header's value names, or as
 // the first of a trace where there is none.
-std::unique_ptr<opentracing::Span> StartChildSpan(
-    opentracing::Tracer& tracer,
-    const std::string& operation,
-    const std::string& context);
+std::unique_ptr<opentracing::Span> StartChildSpan(opentracing::Tracer& tracer,
+                                                  const std::string& operation,
+                                                  const std::string& context);
 
 }  // namespace acaciahold::observe
 
--- a/lib/Observe/tracing.cc
+++ b/lib/Observe/tracing.cc
@@ -79,10 +79,9 @@
   return ToHex(out.str());
 }
 
-std::unique_ptr<opentracing::Span> StartChildSpan(
-    opentracing::Tracer& tracer,
-    const std::string& operation,
-    const std::string& context) {
+std::unique_ptr<opentracing::Span> StartChildSpan(opentracing::Tracer& tracer,
+                                                  const std::string& operation,
+                                                  const std::string& context) {
   std::istringstream in(FromHex(context));
   auto parent = tracer.Extract(in);
   if (context.empty() || !parent || !*parent) {
