--- a/bench/flow_model.cc
+++ b/bench/flow_model.cc
@@ -281,12 +281,7 @@
     }
     flow.is_waiting = true;
     schedule_.emplace(now_ + wait, index);
-    if (is_open) {
-      // A look soon after shows whether the packet has to be sent again.
-      SendPacket(index);
-    } else {
-      SendPacket(index);
-    }
+    SendPacket(index);
   }
 }
 
@@ -590,9 +585,9 @@
                     static_cast<unsigned long long>(c.refused[i]));
       }
     }
-    std::printf(" control %llu\n",
-                static_cast<unsigned long long>(c.control_bytes_sent +
-                                                c.control_bytes_received));
+    unsigned long long control = c.control_bytes_sent;
+    control += c.control_bytes_received;
+    std::printf(" control %llu\n", control);
   }
 }
 
--- a/lib/Consensus/replica.cc
+++ b/lib/Consensus/replica.cc
@@ -73,7 +73,8 @@
       continue;
     }
     auto members = MembersFromJson(boost::json::parse(it->payload));
-    AssertInvariant(bool(members), "a member list in the log is readable");
+    AssertInvariant(members.has_value(),
+                    "a member list in the log is readable");
     replica.members = *members;
     replica.members_index = it->index;
     return;
@@ -674,7 +675,8 @@
     const auto& entry = replica.entries.front();
     if (entry.kind == EntryKind::kMembers) {
       auto members = MembersFromJson(boost::json::parse(entry.payload));
-      AssertInvariant(bool(members), "a member list in the log is readable");
+      AssertInvariant(members.has_value(),
+                      "a member list in the log is readable");
       next.members = *members;
     }
     replica.entries.pop_front();
--- a/lib/Storage/data_folder.cc
+++ b/lib/Storage/data_folder.cc
@@ -116,7 +116,8 @@
   std::string path = folder + "/" + name;
   BOOST_LEAF_AUTO(bytes, ReadFile(path));
   BOOST_LEAF_CHECK(CheckHeader(bytes, path));
-  auto scan = ScanRecords(std::string_view(bytes).substr(kFileHeader.size()));
+  std::string_view content = bytes;
+  auto scan = ScanRecords(content.substr(kFileHeader.size()));
   json::error_code ec;
   json::value value;
   if (scan.end == ScanEnd::kClean && scan.payloads.size() == 1) {
@@ -187,7 +188,8 @@
                      uint64_t& torn_bytes) {
   BOOST_LEAF_AUTO(bytes, ReadFile(path));
   BOOST_LEAF_CHECK(CheckHeader(bytes, path));
-  auto scan = ScanRecords(std::string_view(bytes).substr(kFileHeader.size()));
+  std::string_view content = bytes;
+  auto scan = ScanRecords(content.substr(kFileHeader.size()));
   uint64_t good_end = kFileHeader.size() + scan.good_bytes;
   if (scan.end == ScanEnd::kDamaged) {
     return leaf::new_error(CorruptionError{
--- a/test/end_to_end/scenario.cc
+++ b/test/end_to_end/scenario.cc
@@ -91,8 +91,8 @@
                 deployment->StandinAddress(5, i + 1, kUpstreamPort), 3, 1,
                 options.service_time, std::chrono::milliseconds(500)});
   }
-  auto upstreams =
-      static_cast<size_t>(options.flow_upstreams * 2 + options.order_upstreams);
+  auto upstreams = static_cast<size_t>(options.flow_upstreams) * 2 +
+                   static_cast<size_t>(options.order_upstreams);
   Require(deployment->AwaitSettled(upstreams, hosts, kStartTimeout),
           "upstreams are known everywhere");
 }
--- a/test/quickstart/main.cc
+++ b/test/quickstart/main.cc
@@ -176,6 +176,10 @@
     by_upstream[std::to_string(i)] = runs[i];
   }
   auto fleet_report = fleet.Report();
+  unsigned long long refused = counts.refused;
+  refused += return_counts.refused;
+  unsigned long long other = counts.other;
+  other += return_counts.other;
   std::printf("\nmeasures (seed %llu)\n",
               static_cast<unsigned long long>(kSeed));
   std::printf(
@@ -198,9 +202,7 @@
       "answered, %llu refused, %llu otherwise; packets in fd4 after it left "
       "%llu\n",
       static_cast<unsigned long long>(counts.answered),
-      static_cast<unsigned long long>(return_counts.answered),
-      static_cast<unsigned long long>(counts.refused + return_counts.refused),
-      static_cast<unsigned long long>(counts.other + return_counts.other),
+      static_cast<unsigned long long>(return_counts.answered), refused, other,
       static_cast<unsigned long long>(late));
   std::printf("  requests run twice %llu, beyond an upstream's slots %llu\n",
               static_cast<unsigned long long>(fleet_report.ran_twice),
--- a/unittests/Steering/assignment_test.cc
+++ b/unittests/Steering/assignment_test.cc
@@ -54,11 +54,11 @@
       total += weight;
     }
     RC_PRE(total > 0);
-    std::map<uint16_t, uint64_t> counts;
+    std::map<size_t, uint64_t> counts;
     for (uint16_t index : AssignBuckets(9, candidates)) {
       ++counts[index];
     }
-    for (uint16_t i = 0; i < candidates.size(); ++i) {
+    for (size_t i = 0; i < candidates.size(); ++i) {
       uint64_t exact = uint64_t{candidates[i].weight} * kBucketsPerService;
       RC_ASSERT(counts[i] >= exact / total);
       RC_ASSERT(counts[i] <= exact / total + 1);
--- a/unittests/Storage/data_folder_test.cc
+++ b/unittests/Storage/data_folder_test.cc
@@ -11,7 +11,6 @@
 
 namespace acaciahold::storage {
 using consensus::EntryKind;
-using consensus::LogEntry;
 using consensus::Persist;
 
 namespace {
