Give each end-to-end test a network of its own

Cause: tests drew their loopback network from the process's number, so that two that ran side by side could meet once in some hundred runs. Conclusion: the same verdict every time does not hang on process numbers.

--- a/test/standins/deployment.cc
+++ b/test/standins/deployment.cc
@@ -3,6 +3,7 @@
 #include "deployment.h"
 
 #include <chrono>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <thread>
@@ -26,6 +27,15 @@
 constexpr std::chrono::milliseconds kPoll{50};
 constexpr std::chrono::seconds kGetTimeout{2};
 
+// The second byte of all addresses: the test's own number, or one from the
+// process's number for a run by hand.
+uint8_t NetworkNumber() {
+  constexpr int kNetworks = 250;
+  const char* number = std::getenv("ACACIAHOLD_TEST_NETWORK");
+  int n = number ? std::atoi(number) : ::getpid();
+  return static_cast<uint8_t>(1 + n % kNetworks);
+}
+
 http::FetchResult Get(Endpoint admin, const std::string& target) {
   boost::asio::io_context io;
   http::Client client(io);
@@ -48,7 +58,7 @@
     : binary_(std::move(binary)),
       folder_(std::move(folder)),
       layout_(layout),
-      second_byte_(static_cast<uint8_t>(1 + ::getpid() % 250)) {
+      second_byte_(NetworkNumber()) {
   std::filesystem::remove_all(folder_);
   std::filesystem::create_directories(folder_);
   for (int i = 0; i < layout.entry_hosts; ++i) {
