Drop code that nothing calls

Cause: a last reading found a question on actions that nobody asks, and a frozen host and a silent restart in the bench's model that no scenario uses. Change: removed; nothing else reads them.

--- a/bench/flow_changes.cc
+++ b/bench/flow_changes.cc
@@ -75,12 +75,6 @@
   StartHost(host);
 }
 
-void FlowModel::RestartUpstreamSilently() {
-  auto serving = Serving(0);
-  auto& upstream = upstreams_[serving[random_() % serving.size()]];
-  upstream.warm_at = now_ + std::chrono::seconds(3);
-}
-
 void FlowModel::CutDomain(const std::string& domain, bool is_cut) {
   if (is_cut) {
     cut_domains_.insert(domain);
@@ -98,8 +92,4 @@
   ApplyTable();
 }
 
-void FlowModel::FreezeUpdates(size_t host, bool is_frozen) {
-  hosts_[host].is_frozen = is_frozen;
-}
-
 }  // namespace acaciahold::bench
--- a/bench/flow_model.cc
+++ b/bench/flow_model.cc
@@ -167,9 +167,7 @@
   auto up = UpHosts();
   if (!up.empty()) {
     size_t first = up[random_() % up.size()];
-    if (!hosts_[first].is_frozen) {
-      entry::OnTable(*hosts_[first].core, table_, now_);
-    }
+    entry::OnTable(*hosts_[first].core, table_, now_);
   }
 }
 
@@ -319,7 +317,7 @@
 void FlowModel::SteerByBaseline(size_t host_index, size_t flow_index) {
   auto& host = hosts_[host_index];
   auto& flow = flows_[flow_index];
-  if (now_ >= host.view_at && !host.is_frozen) {
+  if (now_ >= host.view_at) {
     host.view.clear();
     for (size_t s = 0; s < spec_.services.size(); ++s) {
       auto serving = Serving(s);
@@ -421,9 +419,7 @@
   }
   for (const auto& admin : actions.pull_tables) {
     size_t to = admin.address - 1;
-    bool can_pull =
-        hosts_[to].is_up && CanReach(from, to) && !hosts_[from].is_frozen;
-    if (can_pull) {
+    if (hosts_[to].is_up && CanReach(from, to)) {
       auto table = entry::TableOf(*hosts_[to].core);
       entry::OnTable(*hosts_[from].core, table, now_);
     }
--- a/bench/flow_model.h
+++ b/bench/flow_model.h
@@ -83,10 +83,8 @@
   // Faults.
   size_t KillHost();             // Returns the host's index.
   void ReviveHost(size_t host);  // With nothing remembered.
-  void RestartUpstreamSilently();
   void CutDomain(const std::string& domain, bool is_cut);
   void TakeDomain(const std::string& domain, bool is_out);
-  void FreezeUpdates(size_t host, bool is_frozen);
 
   // Peak over mean of open flows for each unit of weight, over serving
   // upstreams of the service.
@@ -124,7 +122,6 @@
     membership::HostRecord record;
     std::unique_ptr<entry::Entry> core;
     bool is_up = false;
-    bool is_frozen = false;
     Instant start_at;
     uint64_t bytes_before = 0;
     uint64_t bytes_carried = 0;  // Of earlier lives.
--- a/include/acaciahold/Entry/entry.h
+++ b/include/acaciahold/Entry/entry.h
@@ -80,8 +80,6 @@
   std::vector<HandoffPull> pull_handoffs;
   std::vector<Endpoint> pull_registries;
   std::vector<Endpoint> pull_tables;
-
-  bool IsEmpty() const;
 };
 
 // One upstream's share at this host, with where it is reported.
--- a/lib/Entry/entry.cc
+++ b/lib/Entry/entry.cc
@@ -303,11 +303,6 @@
 
 }  // namespace
 
-bool Actions::IsEmpty() const {
-  return datagrams.empty() && inner.empty() && pull_handoffs.empty() &&
-         pull_registries.empty() && pull_tables.empty();
-}
-
 void SendTo(Entry& entry,
             Endpoint to,
             const wire::PeerMessage& message,
