--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -1,8 +1,9 @@
 # One library target for each folder of lib/. A library names only libraries of
 # lower layers, which is checked here, so that nothing includes upward.
 set(ACACIAHOLD_LAYERS
-    Support Yaml Observe Packet Table Config Consensus Storage Membership
-    Upstream Admission Steering Wire Entry Request Http Host Operator)
+    Support Json Yaml Observe Packet Table Catalog Directory Config Consensus
+    Storage Membership Upstream Admission Steering Wire Link Entry Request Http
+    Node Host Operator)
 
 function(acaciahold_library name)
   cmake_parse_arguments(ARG "" "" "USES;LINKS" ${ARGN})
--- a/include/acaciahold/Consensus/message.h
+++ b/include/acaciahold/Consensus/message.h
@@ -84,6 +84,7 @@
   Index index = 0;
   Term log_term = 0;
   Index commit = 0;               // kAppend: the leader's commit index.
+  uint64_t round = 0;             // kAppend, and sent back by kAppendReply.
   bool granted = false;           // kVoteReply, kPreVoteReply, kAppendReply.
   std::vector<LogEntry> entries;  // kAppend.
   Snapshot snapshot;              // kSnapshot.
--- a/include/acaciahold/Consensus/replica.h
+++ b/include/acaciahold/Consensus/replica.h
@@ -21,10 +21,12 @@
 
 namespace acaciahold::consensus {
 
-inline constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(100);
-inline constexpr Duration kElectionTimeoutMin = std::chrono::milliseconds(500);
-inline constexpr Duration kElectionTimeoutMax = std::chrono::milliseconds(1000);
+inline constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(200);
+inline constexpr Duration kElectionTimeoutMin = std::chrono::milliseconds(1000);
+inline constexpr Duration kElectionTimeoutMax = std::chrono::milliseconds(2000);
 inline constexpr size_t kMaxEntriesPerAppend = 64;
+// Beyond this a message takes no further entry.
+inline constexpr size_t kMaxBytesPerAppend = 1U << 20U;
 
 enum class Role { kFollower, kPreCandidate, kCandidate, kLeader };
 
@@ -35,6 +37,7 @@
   Instant heard_at;
   Instant resend_deadline;  // Nothing is sent again before it.
   uint64_t instance = 0;    // Of the data folder that answers.
+  uint64_t round = 0;       // The last one that it answered.
 };
 
 // Durable changes, in the order of writing: hard state, snapshot, log.
@@ -80,6 +83,7 @@
   std::vector<Member> members;  // The newest in the log, committed or not.
   Index members_index = 0;      // Where they stand in the log.
   uint64_t rejected_instances = 0;
+  uint64_t round = 0;  // Counts what a leader sends, for reads.
 };
 
 // What the shell read from disk, or the first members for an empty folder.
@@ -114,6 +118,20 @@
                              std::vector<Member> members,
                              Instant now);
 
+// A read of the state that was current when it began.
+struct ReadTicket {
+  Term term = 0;  // 0 where this replica can't confirm reads now.
+  uint64_t round = 0;
+  Index index = 0;  // To be applied before the read.
+  Output output;
+};
+
+enum class ReadStatus { kWaiting, kConfirmed, kFailed };
+
+// Asks the majority whether this replica still leads.
+ReadTicket StartRead(Replica& replica, Instant now);
+ReadStatus CheckRead(const Replica& replica, Term term, uint64_t round);
+
 // Drops the applied part of the log, which `data` stands for.
 Output Compact(Replica& replica, std::string data);
 
--- /dev/null
+++ b/include/acaciahold/Node/control_node.h
@@ -0,0 +1,121 @@
+// A control host: a member of the group that agrees on the catalog, a keeper of
+// the directory of upstreams, and a feed of both to entry hosts.
+//
+// The directory is soft state. Each control host takes announcements, passes
+// changes to the other control hosts and to its entry hosts at once, and tells
+// the other control hosts in batches which upstreams it has heard again.
+
+#ifndef ACACIAHOLD_NODE_CONTROL_NODE_H_
+#define ACACIAHOLD_NODE_CONTROL_NODE_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "acaciahold/Catalog/catalog.h"
+#include "acaciahold/Directory/directory.h"
+#include "acaciahold/Link/link.h"
+#include "acaciahold/Node/group_shell.h"
+#include "acaciahold/Node/messages.h"
+#include "acaciahold/Node/node_settings.h"
+
+namespace acaciahold::node {
+
+// How often other control hosts are told who was heard again; well below the
+// interval of announcements.
+inline constexpr std::chrono::milliseconds kRefreshInterval{400};
+// A host without a leader asks to join this often.
+inline constexpr Duration kJoinInterval = std::chrono::milliseconds(500);
+
+class ControlNode {
+ public:
+  // Listens for links and opens the data folder. Fails with SystemError or
+  // CorruptionError.
+  static Result<std::unique_ptr<ControlNode>> Open(
+      boost::asio::io_context& io,
+      const NodeSettings& settings);
+
+  void Start();
+
+  // The seeds have changed.
+  void OnSeeds(std::vector<Endpoint> links);
+
+  // What upstreams say. The news is on its way to all connected entry hosts
+  // when the call returns.
+  void OnAnnouncement(const directory::Record& record);
+  void OnLeave(directory::UpstreamId id, int64_t born_ms);
+
+  // See GroupShell::Propose and ConfirmRead.
+  void Submit(const catalog::Command& command, std::function<void(bool)> done);
+  void ConfirmRead(std::function<void(bool)> done);
+
+  bool is_leader() const { return group_->is_leader(); }
+  // The links of the leader, where it is another host and is known.
+  std::optional<Endpoint> OtherLeader() const;
+  const catalog::State& state() const { return state_; }
+
+ private:
+  // A link that another host opened.
+  struct Peer {
+    std::shared_ptr<link::Session> session;
+    Hello hello;
+  };
+
+  ControlNode(boost::asio::io_context& io, NodeSettings settings);
+
+  GroupShell::Handlers MakeGroupHandlers();
+  void OnSession(std::shared_ptr<link::Session> session);
+  void OnPeerMessage(uint64_t peer, std::string_view text);
+  void OnHello(Peer& peer, const Hello& hello);
+  void OnHostMessage(const Message& message);
+  void OnJoin(const JoinMessage& message);
+  void OnRecords(const Records& message);
+  void OnRefreshes(const Refreshes& message);
+
+  void Connect(Endpoint to);
+  void OnLinkOpen(Endpoint to);
+  void UpdateLinks();
+  std::vector<Endpoint> KnownHosts() const;
+
+  void SendToGroup(const consensus::Message& message);
+  void SendToControlHosts(const Message& message);
+  void SendToEntryHosts(const Message& message);
+  void FeedEntryHost(Peer& peer);
+  void SpreadRecord(directory::UpstreamId id);
+
+  void Apply(const consensus::LogEntry& entry);
+  void Restore(std::string_view data);
+  void Tick();
+  void CheckSilence(Instant now);
+  void AskToJoin(Instant now);
+  void SetComplete();
+
+  boost::asio::io_context& io_;
+  NodeSettings settings_;
+  std::unique_ptr<GroupShell> group_;
+  std::shared_ptr<link::Listener> listener_;
+  boost::asio::steady_timer timer_;
+  catalog::State state_;
+  directory::Directory directory_;
+  Refreshes refreshes_;  // Not yet sent.
+  uint64_t next_peer_ = 1;
+  std::map<uint64_t, Peer> peers_;
+  std::map<Endpoint, std::shared_ptr<link::Connector>> links_;
+  // Where replicas are that sent a message, for answers to them.
+  std::map<consensus::ReplicaId, Endpoint> seen_at_;
+  std::vector<Endpoint> heard_hosts_;  // From other control hosts.
+  // Whether the directory has what other hosts knew when this one started.
+  bool is_complete_ = false;
+  Instant complete_deadline_;
+  Instant join_deadline_;
+};
+
+}  // namespace acaciahold::node
+
+#endif  // ACACIAHOLD_NODE_CONTROL_NODE_H_
--- /dev/null
+++ b/include/acaciahold/Node/entry_node.h
@@ -0,0 +1,83 @@
+// An entry host: follows the feeds of all control hosts that it knows, and
+// steers flows by what they tell.
+
+#ifndef ACACIAHOLD_NODE_ENTRY_NODE_H_
+#define ACACIAHOLD_NODE_ENTRY_NODE_H_
+
+#include <array>
+#include <map>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "acaciahold/Link/link.h"
+#include "acaciahold/Node/messages.h"
+#include "acaciahold/Node/node_settings.h"
+#include "acaciahold/Steering/tag_steering.h"
+
+namespace acaciahold::node {
+
+// A feed that is lost for so long no longer counts: a control host restarts and
+// is connected again well within.
+inline constexpr Duration kFeedTimeout = std::chrono::seconds(3);
+// How often openings are judged; a part of steering::kOpenTimeout.
+inline constexpr std::chrono::milliseconds kEntryTick{100};
+inline constexpr Duration kForgetInterval = std::chrono::seconds(5);
+
+class EntryNode {
+ public:
+  EntryNode(boost::asio::io_context& io, NodeSettings settings);
+
+  void Start();
+
+  // The seeds have changed.
+  void OnSeeds(std::vector<Endpoint> links);
+
+  // Ready once the table and the upstreams of a control host are known, and
+  // until Leave.
+  bool is_ready() const;
+  void Leave() { is_leaving_ = true; }
+
+  // Whether the catalog that is held is told by a control host just now.
+  bool has_feed() const;
+
+  steering::TagSteering& steering() { return steering_; }
+
+ private:
+  struct Feed {
+    Endpoint to;
+    std::shared_ptr<link::Connector> connector;  // Null: the slot is free.
+    std::vector<Endpoint> hosts;  // As this feed tells.
+    bool is_connected = false;
+    Instant lost_deadline;  // Not connected: the feed counts until then.
+  };
+  // One bit each in steering::FeedMask.
+  static constexpr uint32_t kMaxFeeds = 32;
+
+  void Connect(Endpoint to);
+  void OnOpen(uint32_t feed);
+  void OnClose(uint32_t feed);
+  void OnText(uint32_t feed, std::string_view text);
+  void OnNews(uint32_t feed, const Message& message);
+  void OnRecords(uint32_t feed, const Records& message);
+  void UpdateFeeds();
+  void Tick();
+  void DropLostFeeds(Instant now);
+
+  boost::asio::io_context& io_;
+  NodeSettings settings_;
+  std::vector<Endpoint> seeds_;  // Links.
+  steering::TagSteering steering_;
+  std::array<Feed, kMaxFeeds> feeds_;
+  boost::asio::steady_timer timer_;
+  Instant forget_deadline_;
+  bool is_complete_ = false;  // A feed has told all that it knows.
+  bool is_leaving_ = false;
+};
+
+}  // namespace acaciahold::node
+
+#endif  // ACACIAHOLD_NODE_ENTRY_NODE_H_
--- /dev/null
+++ b/include/acaciahold/Node/messages.h
@@ -0,0 +1,82 @@
+// Messages between control hosts, and from control hosts to entry hosts, as
+// JSON documents on links.
+
+#ifndef ACACIAHOLD_NODE_MESSAGES_H_
+#define ACACIAHOLD_NODE_MESSAGES_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "acaciahold/Catalog/catalog.h"
+#include "acaciahold/Consensus/group.h"
+#include "acaciahold/Consensus/message.h"
+#include "acaciahold/Directory/directory.h"
+#include "acaciahold/Support/error.h"
+
+namespace acaciahold::node {
+
+// The first message on a link, from the side that opened it.
+struct Hello {
+  std::string name;
+  bool is_control = false;
+  Endpoint link;  // Of a control host's own listener.
+};
+
+// A message of the replicated log.
+struct LogMessage {
+  Endpoint from;  // The sender's links, for the answer.
+  consensus::Message message;
+};
+
+// A host that asks to become a member; passed on to the leader.
+struct JoinMessage {
+  consensus::JoinRequest request;
+};
+
+// Upstreams whose records have changed.
+struct Records {
+  std::vector<directory::Record> records;
+  // Control hosts to each other: the sender's whole directory is sent.
+  bool is_whole = false;
+};
+
+// Upstreams that announced themselves again without a change.
+struct Refreshes {
+  std::vector<std::pair<directory::UpstreamId, uint64_t>> sequences;
+};
+
+// Upstreams that this control host has not heard of for long.
+struct Silences {
+  std::vector<directory::UpstreamId> ids;
+};
+
+// The control hosts that are known: links.
+struct Hosts {
+  std::vector<Endpoint> links;
+};
+
+// To entry hosts: all that this control host knows has been sent.
+struct Complete {};
+
+using Message = std::variant<Hello,
+                             LogMessage,
+                             JoinMessage,
+                             Records,
+                             Refreshes,
+                             Silences,
+                             Hosts,
+                             Complete,
+                             catalog::View>;
+
+std::string Encode(const Message& message);
+
+// Fails with FieldError.
+Result<Message> DecodeMessage(std::string_view text);
+
+}  // namespace acaciahold::node
+
+#endif  // ACACIAHOLD_NODE_MESSAGES_H_
--- /dev/null
+++ b/include/acaciahold/Node/packet_port.h
@@ -0,0 +1,73 @@
+// A UDP socket that is read and written in batches: one system call for many
+// packets, and no allocation for any of them.
+
+#ifndef ACACIAHOLD_NODE_PACKET_PORT_H_
+#define ACACIAHOLD_NODE_PACKET_PORT_H_
+
+#include <array>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <span>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include "acaciahold/Support/address.h"
+#include "acaciahold/Support/error.h"
+
+namespace acaciahold::node {
+
+inline constexpr size_t kBatchSize = 32;
+// The largest packet, with room for what is put before it.
+inline constexpr size_t kPacketBytes = 1'472;
+inline constexpr size_t kPrefixRoom = 64;
+
+class PacketPort {
+ public:
+  // What to do with one packet: to send bytes that lie in the packet's buffer
+  // (`room` and what follows), or nothing.
+  struct Outgoing {
+    Endpoint to;
+    std::span<std::byte> bytes;  // Empty: nothing is sent.
+  };
+  // `packet` has kPrefixRoom free bytes before it.
+  using Handler = std::function<Outgoing(std::span<std::byte> packet)>;
+
+  // Fails with SystemError.
+  static Result<std::unique_ptr<PacketPort>> Bind(boost::asio::io_context& io,
+                                                  Endpoint endpoint);
+
+  void Start(Handler handler);
+
+  uint64_t received() const { return received_; }
+  uint64_t sent() const { return sent_; }
+  uint64_t send_failures() const { return send_failures_; }
+
+ private:
+  explicit PacketPort(boost::asio::io_context& io);
+
+  void Wait();
+  // Returns how many packets were read.
+  size_t ReadBatch();
+  void SendBatch(size_t n);
+
+  boost::asio::ip::udp::socket socket_;
+  Handler handler_;
+  std::array<std::array<std::byte, kPrefixRoom + kPacketBytes>, kBatchSize>
+      buffers_;
+  std::array<iovec, kBatchSize> in_vectors_{};
+  std::array<mmsghdr, kBatchSize> in_{};
+  std::array<iovec, kBatchSize> out_vectors_{};
+  std::array<mmsghdr, kBatchSize> out_{};
+  std::array<sockaddr_in, kBatchSize> out_addresses_{};
+  uint64_t received_ = 0;
+  uint64_t sent_ = 0;
+  uint64_t send_failures_ = 0;
+};
+
+}  // namespace acaciahold::node
+
+#endif  // ACACIAHOLD_NODE_PACKET_PORT_H_
--- /dev/null
+++ b/include/acaciahold/Steering/tag_steering.h
@@ -0,0 +1,171 @@
+// Steering of flows whose two ends send back a tag: a core without I/O.
+//
+// The entry host that gets a flow's opening packet chooses an upstream and
+// writes the upstream's tag into the packet. Every later packet carries it, so
+// that any entry host, also one that has just started, sends it to the same
+// upstream without state of the flow. What is kept of flows is a small memory
+// of opening packets: copies of one go to the same upstream unless that one did
+// not answer, and an upstream that leaves several unanswered is avoided.
+
+#ifndef ACACIAHOLD_STEERING_TAG_STEERING_H_
+#define ACACIAHOLD_STEERING_TAG_STEERING_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "acaciahold/Catalog/catalog.h"
+#include "acaciahold/Directory/directory.h"
+#include "acaciahold/Steering/placement.h"
+#include "acaciahold/Support/address.h"
+#include "acaciahold/Support/time.h"
+
+namespace acaciahold::steering {
+
+using Tag = uint32_t;  // 0: none.
+
+// The tag of an upstream; the same on every host.
+Tag TagOf(directory::UpstreamId id);
+
+struct TaggedFlow {
+  Endpoint caller;
+  Endpoint listener;
+
+  bool operator==(const TaggedFlow&) const = default;
+};
+
+struct Opening {
+  TaggedFlow flow;
+  uint32_t sequence = 0;  // The caller's first sequence number.
+  uint32_t copy = 0;      // 0 for the first packet, then counted up.
+};
+
+enum class TagVerdict {
+  kForward,
+  kReset,  // Tells the caller that nothing has run.
+  kDrop,
+};
+
+enum class TagReason {
+  kPlaced,
+  kCopy,             // As the first packet.
+  kReplaced,         // The upstream of the first packet did not answer.
+  kByTag,
+  kNoListener,       // The table has no listener at the address.
+  kNoTable,          // Nothing is known yet.
+  kNoUpstream,       // No upstream of the service may take the flow.
+  kUnknownTag,       // Not known here; the news may still be on its way.
+};
+
+struct TagDecision {
+  TagVerdict verdict = TagVerdict::kDrop;
+  TagReason reason = TagReason::kNoTable;
+  directory::UpstreamId upstream = 0;
+  Endpoint endpoint;  // Of the upstream.
+  Tag tag = 0;
+};
+
+// An opening packet has its answer at its caller within this, or none comes;
+// below the interval after which callers send copies.
+inline constexpr Duration kAnswerTimeout = std::chrono::milliseconds(150);
+// Without a further packet of the flow for so long, it has not opened: callers
+// have sent a copy by then.
+inline constexpr Duration kOpenTimeout = std::chrono::milliseconds(450);
+// Openings in a row without an answer before an upstream is avoided. Lost
+// packets cause single ones.
+inline constexpr uint32_t kMaxUnanswered = 3;
+// An upstream is avoided for so long, doubled each time up to the maximum.
+inline constexpr Duration kAvoidTimeMin = std::chrono::milliseconds(500);
+inline constexpr Duration kAvoidTimeMax = std::chrono::seconds(4);
+
+struct TagUpstream {
+  directory::UpstreamId id = 0;
+  Tag tag = 0;
+  PlacementCandidate candidate;
+  uint32_t unanswered = 0;  // Openings in a row.
+  Duration avoid_time = kAvoidTimeMin;
+  Instant avoid_deadline;   // Not chosen before it unless there is no other.
+  uint32_t silent_feeds = 0;  // Bit i: feed i has not heard of it.
+};
+
+// A feed is a control host's stream of news; feeds are numbered from 0 to 31.
+using FeedMask = uint32_t;
+
+struct RecentOpening {
+  uint64_t flow_hash = 0;
+  uint32_t sequence = 0;
+  Tag tag = 0;
+  Instant placed_at;
+  bool is_answered = false;
+};
+
+// Slots for recent openings, by hash; a newer one takes the place of an older.
+inline constexpr size_t kRecentOpenings = 2'048;
+
+struct TagSteering {
+  std::string failure_domain;
+  std::mt19937_64 random;
+  catalog::View view;
+  directory::Directory directory;
+  FeedMask open_feeds = 0;
+  // Invariant: one for each entry of `directory`.
+  std::map<directory::UpstreamId, TagUpstream> upstreams;
+  std::unordered_map<Tag, TagUpstream*> by_tag;
+  // The latest start at each endpoint, which alone takes new flows there.
+  std::unordered_map<uint64_t, directory::UpstreamId> latest_at;
+  std::unordered_map<uint64_t, const catalog::Listener*> listeners;
+  // Invariant: size kRecentOpenings.
+  std::vector<RecentOpening> recent;
+  std::deque<uint32_t> awaiting;  // Slots of `recent`, oldest first.
+  std::vector<PlacementCandidate*> scratch_candidates;
+  std::vector<TagUpstream*> scratch_upstreams;
+};
+
+TagSteering MakeTagSteering(std::string failure_domain, uint64_t seed);
+
+// Takes in a newer view; returns false where it is not newer.
+bool OnView(TagSteering& steering, catalog::View view);
+
+// News of one feed about an upstream. Return whether anything changed.
+bool OnRecord(TagSteering& steering,
+              uint32_t feed,
+              const directory::Record& record,
+              Instant now);
+bool OnSilence(TagSteering& steering,
+               uint32_t feed,
+               directory::UpstreamId id,
+               Instant now);
+
+// A feed begins to tell all that it knows; it has told all; or it has been lost
+// for so long that its news no longer count.
+void OnFeedBegin(TagSteering& steering, uint32_t feed);
+void OnFeedComplete(TagSteering& steering, uint32_t feed);
+void OnFeedLost(TagSteering& steering, uint32_t feed, Instant now);
+
+TagDecision OnOpening(TagSteering& steering,
+                      const Opening& opening,
+                      Instant now);
+
+// A later packet of a flow. `requests` is 1 for a packet that carries data.
+TagDecision OnTagged(TagSteering& steering,
+                     const TaggedFlow& flow,
+                     Tag tag,
+                     uint32_t requests,
+                     Instant now);
+
+// Judges openings that have had their time. To be called now and then.
+void OnTick(TagSteering& steering, Instant now);
+
+// Drops upstreams that left long ago.
+void ForgetUpstreams(TagSteering& steering, Instant now);
+
+std::string_view TagReasonName(TagReason reason);
+
+}  // namespace acaciahold::steering
+
+#endif  // ACACIAHOLD_STEERING_TAG_STEERING_H_
--- /dev/null
+++ b/lib/Catalog/catalog.cc
@@ -0,0 +1,78 @@
+// Rules of the catalog, and the state that commands build.
+
+#include "acaciahold/Catalog/catalog.h"
+
+#include <algorithm>
+
+namespace acaciahold::catalog {
+namespace {
+
+FieldError Fault(std::string field, std::string value, std::string wanted) {
+  return {.field = std::move(field),
+          .value = std::move(value),
+          .wanted = std::move(wanted)};
+}
+
+void CheckListener(const Listener& listener,
+                   const std::set<std::string>& services,
+                   std::vector<FieldError>& faults) {
+  std::string path = "listeners." + listener.name;
+  uint64_t total_weight = 0;
+  for (const auto& target : listener.targets) {
+    if (!services.contains(target.service)) {
+      faults.push_back(Fault(path + ".targets", target.service,
+                             "a service that the table has"));
+    }
+    total_weight += target.weight;
+  }
+  if (total_weight == 0) {
+    faults.push_back(
+        Fault(path + ".targets", "0", "a target with a weight above 0"));
+  }
+}
+
+}  // namespace
+
+std::vector<FieldError> Validate(const Catalog& catalog) {
+  std::vector<FieldError> faults;
+  std::set<std::string> services;
+  for (const auto& service : catalog.services) {
+    services.insert(service.name);
+  }
+  std::set<Endpoint> endpoints;
+  for (const auto& listener : catalog.listeners) {
+    if (!endpoints.insert(listener.endpoint).second) {
+      faults.push_back(Fault("listeners." + listener.name,
+                             FormatEndpoint(listener.endpoint),
+                             "an endpoint that no other listener has"));
+    }
+    CheckListener(listener, services, faults);
+  }
+  return faults;
+}
+
+void Apply(State& state, const Command& command, uint64_t revision) {
+  auto& view = state.view;
+  switch (command.kind) {
+    case CommandKind::kReplace:
+      if (command.catalog.version <= view.catalog.version) {
+        return;
+      }
+      view.catalog = command.catalog;
+      state.source = command.source;
+      break;
+    case CommandKind::kTakeDomainOut:
+      if (!view.domains_out.insert(command.failure_domain).second) {
+        return;
+      }
+      break;
+    case CommandKind::kTakeDomainBack:
+      if (view.domains_out.erase(command.failure_domain) == 0) {
+        return;
+      }
+      break;
+  }
+  view.revision = revision;
+}
+
+}  // namespace acaciahold::catalog
--- a/lib/Consensus/message.cc
+++ b/lib/Consensus/message.cc
@@ -2,42 +2,18 @@
 
 #include "acaciahold/Consensus/message.h"
 
-#include <exception>
-
 #include <boost/json.hpp>
 
+#include "acaciahold/Json/decode.h"
+
 namespace acaciahold::consensus {
 namespace {
 
-namespace json = boost::json;
-
-// Decoders throw on a missing field or another type; Guarded turns that into a
-// FieldError at the library's edge.
-template <typename F>
-auto Guarded(F decode) -> Result<decltype(decode())> {
-  try {
-    return decode();
-  } catch (const std::exception& e) {
-    return leaf::new_error(FieldError{
-        .field = "(json)", .value = e.what(), .wanted = "the documented form"});
-  }
-}
-
-template <typename T>
-T NumberAt(const json::object& object, std::string_view key) {
-  return object.at(key).to_number<T>();
-}
-
-template <typename E>
-E EnumAt(const json::object& object, std::string_view key, E last) {
-  auto n = NumberAt<int>(object, key);
-  if (n < 0 || n > static_cast<int>(last)) {
-    throw std::out_of_range("unknown kind");
-  }
-  return static_cast<E>(n);
-}
+using json::Decode;
+using json::EnumAt;
+using json::NumberAt;
 
-std::vector<Member> DecodeMembers(const json::value& value) {
+std::vector<Member> DecodeMembers(const boost::json::value& value) {
   std::vector<Member> members;
   for (const auto& it : value.as_array()) {
     const auto& object = it.as_object();
@@ -49,21 +25,21 @@
   return members;
 }
 
-LogEntry DecodeEntry(const json::value& value) {
+LogEntry DecodeEntry(const boost::json::value& value) {
   const auto& object = value.as_object();
   return {NumberAt<Index>(object, "index"), NumberAt<Term>(object, "term"),
           EnumAt(object, "kind", EntryKind::kMembers),
           std::string(object.at("payload").as_string())};
 }
 
-Snapshot DecodeSnapshot(const json::value& value) {
+Snapshot DecodeSnapshot(const boost::json::value& value) {
   const auto& object = value.as_object();
   return {NumberAt<Index>(object, "index"), NumberAt<Term>(object, "term"),
           DecodeMembers(object.at("members")),
           std::string(object.at("data").as_string())};
 }
 
-HardState DecodeHardState(const json::value& value) {
+HardState DecodeHardState(const boost::json::value& value) {
   const auto& object = value.as_object();
   HardState state;
   state.term = NumberAt<Term>(object, "term");
@@ -71,7 +47,7 @@
   return state;
 }
 
-Message DecodeMessage(const json::value& value) {
+Message DecodeMessage(const boost::json::value& value) {
   const auto& object = value.as_object();
   Message message;
   message.kind = EnumAt(object, "kind", MessageKind::kSnapshot);
@@ -82,6 +58,7 @@
   message.index = NumberAt<Index>(object, "index");
   message.log_term = NumberAt<Term>(object, "log_term");
   message.commit = NumberAt<Index>(object, "commit");
+  message.round = NumberAt<uint64_t>(object, "round");
   message.granted = object.at("granted").as_bool();
   if (const auto* entries = object.if_contains("entries")) {
     for (const auto& it : entries->as_array()) {
@@ -96,8 +73,8 @@
 
 }  // namespace
 
-json::value ToJson(const std::vector<Member>& members) {
-  json::array array;
+boost::json::value ToJson(const std::vector<Member>& members) {
+  boost::json::array array;
   for (const auto& member : members) {
     array.push_back({{"id", member.id},
                      {"admin", PackEndpoint(member.admin)},
@@ -107,26 +84,26 @@
   return array;
 }
 
-json::value ToJson(const LogEntry& entry) {
+boost::json::value ToJson(const LogEntry& entry) {
   return {{"index", entry.index},
           {"term", entry.term},
           {"kind", static_cast<int>(entry.kind)},
           {"payload", entry.payload}};
 }
 
-json::value ToJson(const HardState& state) {
+boost::json::value ToJson(const HardState& state) {
   return {{"term", state.term}, {"voted_for", state.voted_for}};
 }
 
-json::value ToJson(const Snapshot& snapshot) {
+boost::json::value ToJson(const Snapshot& snapshot) {
   return {{"index", snapshot.index},
           {"term", snapshot.term},
           {"members", ToJson(snapshot.members)},
           {"data", snapshot.data}};
 }
 
-json::value ToJson(const Message& message) {
-  json::object object{{"kind", static_cast<int>(message.kind)},
+boost::json::value ToJson(const Message& message) {
+  boost::json::object object{{"kind", static_cast<int>(message.kind)},
                       {"from", message.from},
                       {"to", message.to},
                       {"instance", message.instance},
@@ -134,9 +111,10 @@
                       {"index", message.index},
                       {"log_term", message.log_term},
                       {"commit", message.commit},
+                      {"round", message.round},
                       {"granted", message.granted}};
   if (!message.entries.empty()) {
-    json::array entries;
+    boost::json::array entries;
     for (const auto& entry : message.entries) {
       entries.push_back(ToJson(entry));
     }
@@ -148,24 +126,24 @@
   return object;
 }
 
-Result<Message> MessageFromJson(const json::value& value) {
-  return Guarded([&] { return DecodeMessage(value); });
+Result<Message> MessageFromJson(const boost::json::value& value) {
+  return Decode([&] { return DecodeMessage(value); });
 }
 
-Result<LogEntry> EntryFromJson(const json::value& value) {
-  return Guarded([&] { return DecodeEntry(value); });
+Result<LogEntry> EntryFromJson(const boost::json::value& value) {
+  return Decode([&] { return DecodeEntry(value); });
 }
 
-Result<HardState> HardStateFromJson(const json::value& value) {
-  return Guarded([&] { return DecodeHardState(value); });
+Result<HardState> HardStateFromJson(const boost::json::value& value) {
+  return Decode([&] { return DecodeHardState(value); });
 }
 
-Result<Snapshot> SnapshotFromJson(const json::value& value) {
-  return Guarded([&] { return DecodeSnapshot(value); });
+Result<Snapshot> SnapshotFromJson(const boost::json::value& value) {
+  return Decode([&] { return DecodeSnapshot(value); });
 }
 
-Result<std::vector<Member>> MembersFromJson(const json::value& value) {
-  return Guarded([&] { return DecodeMembers(value); });
+Result<std::vector<Member>> MembersFromJson(const boost::json::value& value) {
+  return Decode([&] { return DecodeMembers(value); });
 }
 
 }  // namespace acaciahold::consensus
--- a/lib/Consensus/replica.cc
+++ b/lib/Consensus/replica.cc
@@ -165,11 +165,14 @@
   message.index = progress.next - 1;
   message.log_term = *TermAt(replica, message.index);
   message.commit = replica.commit;
+  message.round = replica.round;
   if (now >= progress.resend_deadline) {
     Index end = std::min<Index>(LastIndex(replica),
                                 progress.next + kMaxEntriesPerAppend - 1);
-    for (Index i = progress.next; i <= end; ++i) {
+    size_t n = 0;
+    for (Index i = progress.next; i <= end && n < kMaxBytesPerAppend; ++i) {
       message.entries.push_back(*EntryAt(replica, i));
+      n += message.entries.back().payload.size();
     }
   }
   if (!message.entries.empty()) {
@@ -386,6 +389,7 @@
               Output& output) {
   FollowLeader(replica, message, now, output);
   auto reply = MakeMessage(replica, MessageKind::kAppendReply, message.from);
+  reply.round = message.round;
   bool is_below = message.index < replica.snapshot.index;
   auto term = TermAt(replica, message.index);
   if (!is_below && term != message.log_term) {
@@ -454,6 +458,7 @@
   auto& progress = it->second;
   progress.heard_at = now;
   progress.instance = message.instance;
+  progress.round = std::max(progress.round, message.round);
   replica.current_as_of = QuorumHeardAt(replica, now);
   if (!message.granted) {
     progress.next = std::max(progress.match + 1,
@@ -660,6 +665,38 @@
   return result;
 }
 
+ReadTicket StartRead(Replica& replica, Instant now) {
+  ReadTicket ticket;
+  // What earlier leaders committed is known only with an entry of this term.
+  bool is_settled = replica.role == Role::kLeader &&
+                    TermAt(replica, replica.commit) == replica.hard.term;
+  if (!is_settled) {
+    return ticket;
+  }
+  ++replica.round;
+  BroadcastAppend(replica, now, ticket.output);
+  ticket.term = replica.hard.term;
+  ticket.round = replica.round;
+  ticket.index = replica.commit;
+  return ticket;
+}
+
+ReadStatus CheckRead(const Replica& replica, Term term, uint64_t round) {
+  if (replica.role != Role::kLeader || replica.hard.term != term) {
+    return ReadStatus::kFailed;
+  }
+  auto n = std::count_if(
+      replica.members.begin(), replica.members.end(), [&](const Member& m) {
+        auto it = replica.progress.find(m.id);
+        bool has_answered =
+            it != replica.progress.end() && it->second.round >= round;
+        return m.is_voter && (m.id == replica.id || has_answered);
+      });
+  return n >= static_cast<std::ptrdiff_t>(Majority(replica))
+             ? ReadStatus::kConfirmed
+             : ReadStatus::kWaiting;
+}
+
 Output Compact(Replica& replica, std::string data) {
   Output output;
   if (replica.applied <= replica.snapshot.index) {
--- /dev/null
+++ b/lib/Directory/directory.cc
@@ -0,0 +1,166 @@
+// Merging, silence and JSON forms of upstream records.
+
+#include "acaciahold/Directory/directory.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include <boost/json.hpp>
+
+#include "acaciahold/Json/decode.h"
+
+namespace acaciahold::directory {
+namespace {
+
+bool IsNewer(const Record& a, const Record& b) {
+  return std::tie(a.born_ms, a.sequence) > std::tie(b.born_ms, b.sequence);
+}
+
+// Whether placement would treat the two alike.
+bool IsSameNews(const Record& a, const Record& b) {
+  return a.service == b.service && a.endpoint == b.endpoint &&
+         a.failure_domain == b.failure_domain && a.slots == b.slots &&
+         a.phase == b.phase && a.born_ms == b.born_ms;
+}
+
+}  // namespace
+
+Change Merge(Directory& directory, const Record& record, Instant heard_at) {
+  auto [it, is_new] = directory.entries.try_emplace(record.id);
+  auto& entry = it->second;
+  bool is_same_start = !is_new && record.born_ms == entry.record.born_ms;
+  bool is_leaving = is_same_start && record.phase == Phase::kGone;
+  if (is_same_start && entry.record.phase == Phase::kGone) {
+    return Change::kStale;  // Only a new start brings it back.
+  }
+  if (!is_new && !is_leaving && !IsNewer(record, entry.record)) {
+    return Change::kStale;
+  }
+  bool was_cold = entry.cold_deadline > heard_at;
+  bool is_changed = is_new || !IsSameNews(record, entry.record) ||
+                    entry.is_silent || was_cold != (record.cold_ms > 0);
+  uint64_t sequence = std::max(is_leaving ? entry.record.sequence : 0,
+                               record.sequence);
+  entry.record = record;
+  entry.record.sequence = sequence;
+  entry.heard_at = std::max(entry.heard_at, heard_at);
+  entry.cold_deadline = heard_at + std::chrono::milliseconds(record.cold_ms);
+  entry.is_silent = false;
+  return is_changed ? Change::kChanged : Change::kRefreshed;
+}
+
+Change Remove(Directory& directory,
+              UpstreamId id,
+              int64_t born_ms,
+              Instant now) {
+  Record record;
+  auto it = directory.entries.find(id);
+  if (it != directory.entries.end()) {
+    record = it->second.record;
+  }
+  record.id = id;
+  record.phase = Phase::kGone;
+  record.cold_ms = 0;
+  if (born_ms > 0) {
+    record.born_ms = born_ms;
+  }
+  return Merge(directory, record, now);
+}
+
+Change Refresh(Directory& directory,
+               UpstreamId id,
+               uint64_t sequence,
+               Instant heard_at) {
+  auto it = directory.entries.find(id);
+  if (it == directory.entries.end() ||
+      it->second.record.sequence > sequence ||
+      it->second.record.phase == Phase::kGone) {
+    return Change::kStale;
+  }
+  auto& entry = it->second;
+  bool was_silent = std::exchange(entry.is_silent, false);
+  entry.record.sequence = sequence;
+  entry.heard_at = std::max(entry.heard_at, heard_at);
+  return was_silent ? Change::kChanged : Change::kRefreshed;
+}
+
+std::vector<UpstreamId> CheckSilence(Directory& directory,
+                                     Duration timeout,
+                                     Instant now) {
+  std::vector<UpstreamId> silent;
+  for (auto& [id, entry] : directory.entries) {
+    bool is_due = !entry.is_silent && entry.record.phase != Phase::kGone &&
+                  now >= entry.heard_at + timeout;
+    if (is_due) {
+      entry.is_silent = true;
+      silent.push_back(id);
+    }
+  }
+  return silent;
+}
+
+std::vector<UpstreamId> ForgetOld(Directory& directory, Instant now) {
+  std::vector<UpstreamId> forgotten;
+  std::erase_if(directory.entries, [&](const auto& it) {
+    const auto& entry = it.second;
+    bool has_left = entry.is_silent || entry.record.phase == Phase::kGone;
+    bool is_old = has_left && now >= entry.heard_at + kForgetTimeout;
+    if (is_old) {
+      forgotten.push_back(it.first);
+    }
+    return is_old;
+  });
+  return forgotten;
+}
+
+Record CurrentRecord(const Entry& entry, Instant now) {
+  Record record = entry.record;
+  auto left = std::max(Duration::zero(), entry.cold_deadline - now);
+  record.cold_ms = static_cast<uint32_t>(
+      std::chrono::ceil<std::chrono::milliseconds>(left).count());
+  return record;
+}
+
+boost::json::value ToJson(const Record& record) {
+  return {{"id", record.id},
+          {"service", record.service},
+          {"endpoint", PackEndpoint(record.endpoint)},
+          {"failure_domain", record.failure_domain},
+          {"slots", record.slots},
+          {"phase", static_cast<int>(record.phase)},
+          {"born_ms", record.born_ms},
+          {"sequence", record.sequence},
+          {"cold_ms", record.cold_ms}};
+}
+
+Result<Record> RecordFromJson(const boost::json::value& value) {
+  return json::Decode([&] {
+    const auto& from = value.as_object();
+    Record record;
+    record.id = json::NumberAt<UpstreamId>(from, "id");
+    record.service = json::TextAt(from, "service");
+    record.endpoint = UnpackEndpoint(json::NumberAt<uint64_t>(from, "endpoint"));
+    record.failure_domain = json::TextAt(from, "failure_domain");
+    record.slots = json::NumberAt<uint32_t>(from, "slots");
+    record.phase = json::EnumAt(from, "phase", Phase::kGone);
+    record.born_ms = json::NumberAt<int64_t>(from, "born_ms");
+    record.sequence = json::NumberAt<uint64_t>(from, "sequence");
+    record.cold_ms = json::NumberAt<uint32_t>(from, "cold_ms");
+    return record;
+  });
+}
+
+std::string_view PhaseName(Phase phase) {
+  switch (phase) {
+    case Phase::kServing:
+      return "serving";
+    case Phase::kDraining:
+      return "draining";
+    case Phase::kGone:
+      return "gone";
+  }
+  return "gone";
+}
+
+}  // namespace acaciahold::directory
--- a/lib/Http/server.cc
+++ b/lib/Http/server.cc
@@ -18,6 +18,8 @@
 #include <boost/beast/http/write.hpp>
 #include <sys/socket.h>
 
+#include "acaciahold/Link/link.h"
+
 namespace acaciahold::http {
 namespace {
 
@@ -106,23 +108,7 @@
                                                ServerLimits limits,
                                                Handler handler) {
   std::shared_ptr<Server> server(new Server(io, limits, std::move(handler)));
-  tcp::endpoint at(asio::ip::address_v4(endpoint.address), endpoint.port);
-  error_code ec;
-  auto& acceptor = server->acceptor_;
-  acceptor.open(at.protocol(), ec);
-  if (!ec) {
-    acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
-  }
-  if (!ec) {
-    acceptor.bind(at, ec);
-  }
-  if (!ec) {
-    acceptor.listen(asio::socket_base::max_listen_connections, ec);
-  }
-  if (ec) {
-    return leaf::new_error(
-        SystemError{"listen at " + FormatEndpoint(endpoint), ec.message()});
-  }
+  BOOST_LEAF_CHECK(link::OpenAcceptor(server->acceptor_, endpoint));
   return server;
 }
 
--- /dev/null
+++ b/lib/Node/control_node.cc
@@ -0,0 +1,453 @@
+// Links, feeds and the directory of a control host.
+
+#include "acaciahold/Node/control_node.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include <boost/json.hpp>
+
+#include "acaciahold/Json/decode.h"
+#include "acaciahold/Observe/event_log.h"
+
+namespace acaciahold::node {
+namespace {
+
+namespace asio = boost::asio;
+using directory::Change;
+using observe::LogEvent;
+using observe::Weight;
+
+void LogUpstream(const directory::Entry& entry, std::string_view outcome) {
+  const auto& record = entry.record;
+  LogEvent(Weight::kNotable, "upstream_changed",
+           {{"upstream", record.id},
+            {"service", record.service},
+            {"endpoint", FormatEndpoint(record.endpoint)},
+            {"failure_domain", record.failure_domain},
+            {"phase", directory::PhaseName(record.phase)},
+            {"born_ms", record.born_ms},
+            {"sequence", record.sequence},
+            {"outcome", outcome}});
+}
+
+}  // namespace
+
+ControlNode::ControlNode(asio::io_context& io, NodeSettings settings)
+    : io_(io), settings_(std::move(settings)), timer_(io) {}
+
+Result<std::unique_ptr<ControlNode>> ControlNode::Open(
+    asio::io_context& io,
+    const NodeSettings& settings) {
+  std::unique_ptr<ControlNode> node(new ControlNode(io, settings));
+  GroupSettings group;
+  group.data_folder = settings.data_folder;
+  group.endpoint = settings.link();
+  if (settings.founds_group) {
+    group.founders = SeedLinks(settings);
+  }
+  BOOST_LEAF_ASSIGN(node->group_, GroupShell::Open(io, std::move(group),
+                                                   node->MakeGroupHandlers()));
+  BOOST_LEAF_ASSIGN(
+      node->listener_,
+      link::Listener::Listen(io, settings.link(),
+                             [self = node.get()](auto session) {
+                               self->OnSession(std::move(session));
+                             }));
+  return node;
+}
+
+GroupShell::Handlers ControlNode::MakeGroupHandlers() {
+  GroupShell::Handlers handlers;
+  handlers.send = [this](const auto& message) { SendToGroup(message); };
+  handlers.apply = [this](const auto& entry) { Apply(entry); };
+  handlers.restore = [this](std::string_view data) { Restore(data); };
+  handlers.snapshot = [this] {
+    return boost::json::serialize(catalog::ToJson(state_));
+  };
+  handlers.on_members = [this] {
+    UpdateLinks();
+    SendToControlHosts(Hosts{KnownHosts()});
+    SendToEntryHosts(Hosts{KnownHosts()});
+  };
+  return handlers;
+}
+
+void ControlNode::Start() {
+  complete_deadline_ =
+      ReadClock() + directory::SilenceTimeout(settings_.announcement_interval);
+  UpdateLinks();
+  group_->Start();
+  Tick();
+}
+
+void ControlNode::OnSeeds(std::vector<Endpoint> links) {
+  heard_hosts_ = std::move(links);
+  UpdateLinks();
+}
+
+void ControlNode::Tick() {
+  Instant now = ReadClock();
+  if (!refreshes_.sequences.empty()) {
+    SendToControlHosts(std::exchange(refreshes_, {}));
+  }
+  CheckSilence(now);
+  AskToJoin(now);
+  if (!is_complete_ && now >= complete_deadline_) {
+    SetComplete();
+  }
+  timer_.expires_after(kRefreshInterval);
+  timer_.async_wait([this](boost::system::error_code ec) {
+    if (!ec) {
+      Tick();
+    }
+  });
+}
+
+void ControlNode::CheckSilence(Instant now) {
+  auto timeout = directory::SilenceTimeout(settings_.announcement_interval);
+  Silences silences{directory::CheckSilence(directory_, timeout, now)};
+  for (auto id : silences.ids) {
+    LogUpstream(directory_.entries.at(id), "silent");
+  }
+  if (!silences.ids.empty()) {
+    SendToEntryHosts(silences);
+  }
+  directory::ForgetOld(directory_, now);
+}
+
+// A host that is no member, or was taken out unnoticed, has no leader.
+void ControlNode::AskToJoin(Instant now) {
+  bool has_leader = group_->is_leader() || group_->Leader().has_value();
+  if (has_leader || now < join_deadline_) {
+    return;
+  }
+  join_deadline_ = now + kJoinInterval;
+  SendToControlHosts(JoinMessage{group_->MakeJoinRequest()});
+}
+
+void ControlNode::SetComplete() {
+  is_complete_ = true;
+  LogEvent(Weight::kNotable, "directory_complete",
+           {{"upstreams", directory_.entries.size()}});
+  SendToEntryHosts(Complete{});
+}
+
+// Incoming links.
+
+void ControlNode::OnSession(std::shared_ptr<link::Session> session) {
+  uint64_t id = next_peer_++;
+  peers_[id].session = session;
+  session->Start({[this, id](std::string_view text) {
+                    OnPeerMessage(id, text);
+                  },
+                  [this, id] {
+                    LogEvent(Weight::kNotable, "peer_lost",
+                             {{"peer", peers_[id].hello.name}});
+                    peers_.erase(id);
+                  }});
+}
+
+void ControlNode::OnPeerMessage(uint64_t peer, std::string_view text) {
+  auto message = DecodeMessage(text);
+  if (!message) {
+    LogEvent(Weight::kNotable, "peer_message_refused",
+             {{"peer", peers_[peer].hello.name}});
+    return;
+  }
+  if (const auto* hello = std::get_if<Hello>(&*message)) {
+    OnHello(peers_[peer], *hello);
+    return;
+  }
+  OnHostMessage(*message);
+}
+
+void ControlNode::OnHello(Peer& peer, const Hello& hello) {
+  peer.hello = hello;
+  LogEvent(Weight::kNotable, "peer_opened",
+           {{"peer", hello.name}, {"is_control", hello.is_control}});
+  if (!hello.is_control) {
+    FeedEntryHost(peer);
+    return;
+  }
+  if (!links_.contains(hello.link)) {
+    Connect(hello.link);
+  }
+}
+
+void ControlNode::FeedEntryHost(Peer& peer) {
+  Instant now = ReadClock();
+  peer.session->Send(Encode(Hosts{KnownHosts()}));
+  if (state_.view.revision > 0) {
+    peer.session->Send(Encode(state_.view));
+  }
+  Records records;
+  Silences silences;
+  for (const auto& [id, entry] : directory_.entries) {
+    records.records.push_back(directory::CurrentRecord(entry, now));
+    if (entry.is_silent) {
+      silences.ids.push_back(id);
+    }
+  }
+  peer.session->Send(Encode(records));
+  peer.session->Send(Encode(silences));
+  if (is_complete_) {
+    peer.session->Send(Encode(Complete{}));
+  }
+}
+
+// Messages of control hosts, on links of either direction.
+void ControlNode::OnHostMessage(const Message& message) {
+  if (const auto* log = std::get_if<LogMessage>(&message)) {
+    seen_at_[log->message.from] = log->from;
+    group_->OnMessage(log->message);
+  } else if (const auto* join = std::get_if<JoinMessage>(&message)) {
+    OnJoin(*join);
+  } else if (const auto* records = std::get_if<Records>(&message)) {
+    OnRecords(*records);
+  } else if (const auto* refreshes = std::get_if<Refreshes>(&message)) {
+    OnRefreshes(*refreshes);
+  } else if (const auto* hosts = std::get_if<Hosts>(&message)) {
+    heard_hosts_ = hosts->links;
+    UpdateLinks();
+  }
+}
+
+// The leader decides on members; others pass the request on to it.
+void ControlNode::OnJoin(const JoinMessage& message) {
+  if (group_->is_leader()) {
+    group_->OnJoinRequest(message.request);
+    return;
+  }
+  auto leader = OtherLeader();
+  auto it = leader ? links_.find(*leader) : links_.end();
+  if (it != links_.end()) {
+    it->second->Send(Encode(message));
+  }
+}
+
+void ControlNode::OnRecords(const Records& message) {
+  Instant now = ReadClock();
+  for (const auto& record : message.records) {
+    if (directory::Merge(directory_, record, now) == Change::kChanged) {
+      LogUpstream(directory_.entries.at(record.id), "told");
+      SendToEntryHosts(Records{{record}, false});
+    }
+  }
+  if (message.is_whole && !is_complete_) {
+    SetComplete();
+  }
+}
+
+void ControlNode::OnRefreshes(const Refreshes& message) {
+  Instant now = ReadClock();
+  for (const auto& [id, sequence] : message.sequences) {
+    if (directory::Refresh(directory_, id, sequence, now) == Change::kChanged) {
+      LogUpstream(directory_.entries.at(id), "heard again");
+      SendToEntryHosts(
+          Records{{directory::CurrentRecord(directory_.entries.at(id), now)},
+                  false});
+    }
+  }
+}
+
+// Outgoing links.
+
+void ControlNode::Connect(Endpoint to) {
+  auto connector = link::Connector::Create(io_, to);
+  links_[to] = connector;
+  connector->Start({[this, to] { OnLinkOpen(to); },
+                    [this](std::string_view text) {
+                      if (auto message = DecodeMessage(text)) {
+                        OnHostMessage(*message);
+                      }
+                    },
+                    [to] {
+                      LogEvent(Weight::kNotable, "control_host_lost",
+                               {{"link", FormatEndpoint(to)}});
+                    }});
+}
+
+void ControlNode::OnLinkOpen(Endpoint to) {
+  LogEvent(Weight::kNotable, "control_host_found",
+           {{"link", FormatEndpoint(to)}});
+  auto& connector = *links_.at(to);
+  connector.Send(Encode(Hello{settings_.name, true, settings_.link()}));
+  Instant now = ReadClock();
+  Records records;
+  records.is_whole = is_complete_;
+  for (const auto& [id, entry] : directory_.entries) {
+    if (!entry.is_silent) {
+      records.records.push_back(directory::CurrentRecord(entry, now));
+    }
+  }
+  connector.Send(Encode(records));
+  if (group_->Leader()) {
+    connector.Send(Encode(Hosts{KnownHosts()}));
+  }
+}
+
+std::vector<Endpoint> ControlNode::KnownHosts() const {
+  std::vector<Endpoint> links;
+  for (const auto& member : group_->members()) {
+    links.push_back(member.admin);
+  }
+  return links;
+}
+
+// Keeps a link to each member. A host that knows of no leader also tries those
+// that it was told of.
+void ControlNode::UpdateLinks() {
+  std::set<Endpoint> wanted;
+  for (const auto& link : KnownHosts()) {
+    wanted.insert(link);
+  }
+  bool has_leader = group_->Leader().has_value();
+  if (!has_leader) {
+    wanted.insert(heard_hosts_.begin(), heard_hosts_.end());
+    auto seeds = SeedLinks(settings_);
+    wanted.insert(seeds.begin(), seeds.end());
+  }
+  wanted.erase(settings_.link());
+  for (auto it = links_.begin(); it != links_.end();) {
+    bool is_kept = !has_leader || wanted.contains(it->first) ||
+                   it->second->is_open();
+    if (is_kept) {
+      ++it;
+      continue;
+    }
+    it->second->Stop();
+    it = links_.erase(it);
+  }
+  for (const auto& link : wanted) {
+    if (!links_.contains(link)) {
+      Connect(link);
+    }
+  }
+}
+
+void ControlNode::SendToGroup(const consensus::Message& message) {
+  std::optional<Endpoint> to;
+  for (const auto& member : group_->members()) {
+    if (member.id == message.to) {
+      to = member.admin;
+    }
+  }
+  if (!to && seen_at_.contains(message.to)) {
+    to = seen_at_.at(message.to);
+  }
+  auto it = to ? links_.find(*to) : links_.end();
+  if (it != links_.end()) {
+    it->second->Send(
+        Encode(LogMessage{settings_.link(), message}));
+  }
+}
+
+void ControlNode::SendToControlHosts(const Message& message) {
+  auto text = Encode(message);
+  for (auto& [to, connector] : links_) {
+    connector->Send(text);
+  }
+}
+
+void ControlNode::SendToEntryHosts(const Message& message) {
+  std::string text;
+  for (auto& [id, peer] : peers_) {
+    bool is_entry = !peer.hello.name.empty() && !peer.hello.is_control;
+    if (!is_entry) {
+      continue;
+    }
+    if (text.empty()) {
+      text = Encode(message);
+    }
+    peer.session->Send(text);
+  }
+}
+
+// Upstreams.
+
+void ControlNode::OnAnnouncement(const directory::Record& record) {
+  Instant now = ReadClock();
+  auto change = directory::Merge(directory_, record, now);
+  if (change == Change::kRefreshed) {
+    refreshes_.sequences.emplace_back(record.id, record.sequence);
+  } else if (change == Change::kChanged) {
+    SpreadRecord(record.id);
+  }
+}
+
+void ControlNode::OnLeave(directory::UpstreamId id, int64_t born_ms) {
+  if (directory::Remove(directory_, id, born_ms, ReadClock()) ==
+      Change::kChanged) {
+    SpreadRecord(id);
+  }
+}
+
+void ControlNode::SpreadRecord(directory::UpstreamId id) {
+  const auto& entry = directory_.entries.at(id);
+  LogUpstream(entry, "announced");
+  Records news{{directory::CurrentRecord(entry, ReadClock())}, false};
+  SendToEntryHosts(news);
+  SendToControlHosts(news);
+}
+
+// The catalog.
+
+void ControlNode::Submit(const catalog::Command& command,
+                         std::function<void(bool)> done) {
+  group_->Propose(boost::json::serialize(catalog::ToJson(command)),
+                  std::move(done));
+}
+
+void ControlNode::ConfirmRead(std::function<void(bool)> done) {
+  group_->ConfirmRead(std::move(done));
+}
+
+std::optional<Endpoint> ControlNode::OtherLeader() const {
+  auto leader = group_->Leader();
+  if (!leader || group_->is_leader()) {
+    return std::nullopt;
+  }
+  return leader->admin;
+}
+
+void ControlNode::Apply(const consensus::LogEntry& entry) {
+  auto document = json::Parse(entry.payload);
+  auto command = document ? catalog::CommandFromJson(*document)
+                          : Result<catalog::Command>(document.error());
+  if (!command) {
+    LogEvent(Weight::kNotable, "command_unreadable", {{"index", entry.index}});
+    return;
+  }
+  auto revision_before = state_.view.revision;
+  catalog::Apply(state_, *command, entry.index);
+  if (state_.view.revision == revision_before) {
+    return;
+  }
+  LogEvent(Weight::kNotable, "table_changed",
+           {{"revision", state_.view.revision},
+            {"version", state_.view.catalog.version},
+            {"listeners", state_.view.catalog.listeners.size()},
+            {"domains_out", state_.view.domains_out.size()}});
+  SendToEntryHosts(state_.view);
+}
+
+void ControlNode::Restore(std::string_view data) {
+  state_ = {};
+  if (data.empty()) {
+    return;
+  }
+  auto document = json::Parse(data);
+  auto state = document ? catalog::StateFromJson(*document)
+                        : Result<catalog::State>(document.error());
+  if (!state) {
+    LogEvent(Weight::kNotable, "snapshot_unreadable",
+             {{"bytes", data.size()}});
+    return;
+  }
+  state_ = std::move(*state);
+  SendToEntryHosts(state_.view);
+}
+
+}  // namespace acaciahold::node
--- /dev/null
+++ b/lib/Node/messages.cc
@@ -0,0 +1,183 @@
+// JSON forms of the messages between hosts.
+
+#include "acaciahold/Node/messages.h"
+
+#include <boost/json.hpp>
+
+#include "acaciahold/Json/decode.h"
+
+namespace acaciahold::node {
+namespace {
+
+using boost::json::array;
+using boost::json::object;
+using boost::json::value;
+using json::Decode;
+using json::NumberAt;
+using json::TextAt;
+
+value EncodePart(const Hello& hello) {
+  return {{"kind", "hello"},
+          {"name", hello.name},
+          {"is_control", hello.is_control},
+          {"link", PackEndpoint(hello.link)}};
+}
+
+value EncodePart(const LogMessage& message) {
+  return {{"kind", "log"},
+          {"from", PackEndpoint(message.from)},
+          {"message", ToJson(message.message)}};
+}
+
+value EncodePart(const JoinMessage& message) {
+  return {{"kind", "join"},
+          {"id", message.request.id},
+          {"instance", message.request.instance},
+          {"endpoint", PackEndpoint(message.request.endpoint)}};
+}
+
+value EncodePart(const Records& message) {
+  array records;
+  for (const auto& record : message.records) {
+    records.push_back(ToJson(record));
+  }
+  return {{"kind", "records"},
+          {"records", std::move(records)},
+          {"is_whole", message.is_whole}};
+}
+
+value EncodePart(const Refreshes& message) {
+  array sequences;
+  for (const auto& [id, sequence] : message.sequences) {
+    sequences.push_back({id, sequence});
+  }
+  return {{"kind", "refreshes"}, {"sequences", std::move(sequences)}};
+}
+
+value EncodePart(const Silences& message) {
+  return {{"kind", "silences"},
+          {"ids", array(message.ids.begin(), message.ids.end())}};
+}
+
+value EncodePart(const Hosts& message) {
+  array links;
+  for (const auto& link : message.links) {
+    links.push_back(PackEndpoint(link));
+  }
+  return {{"kind", "hosts"}, {"links", std::move(links)}};
+}
+
+value EncodePart(const Complete&) {
+  return {{"kind", "complete"}};
+}
+
+value EncodePart(const catalog::View& view) {
+  return {{"kind", "view"}, {"view", catalog::ToJson(view)}};
+}
+
+// For decoding inside Decode: throws where a part can't be read.
+template <typename T>
+T Must(Result<T> result) {
+  if (!result) {
+    throw std::invalid_argument("a part of the message can't be read");
+  }
+  return std::move(*result);
+}
+
+Endpoint EndpointOf(const value& from) {
+  return UnpackEndpoint(from.to_number<uint64_t>());
+}
+
+Message DecodeLog(const object& from) {
+  return LogMessage{EndpointOf(from.at("from")),
+                    Must(consensus::MessageFromJson(from.at("message")))};
+}
+
+Message DecodeJoin(const object& from) {
+  return JoinMessage{{NumberAt<consensus::ReplicaId>(from, "id"),
+                      NumberAt<uint64_t>(from, "instance"),
+                      EndpointOf(from.at("endpoint"))}};
+}
+
+Message DecodeRecords(const object& from) {
+  Records message;
+  for (const auto& it : from.at("records").as_array()) {
+    message.records.push_back(Must(directory::RecordFromJson(it)));
+  }
+  message.is_whole = from.at("is_whole").as_bool();
+  return message;
+}
+
+Message DecodeRefreshes(const object& from) {
+  Refreshes message;
+  for (const auto& it : from.at("sequences").as_array()) {
+    const auto& pair = it.as_array();
+    message.sequences.emplace_back(pair.at(0).to_number<uint64_t>(),
+                                   pair.at(1).to_number<uint64_t>());
+  }
+  return message;
+}
+
+Message DecodeSilences(const object& from) {
+  Silences message;
+  for (const auto& it : from.at("ids").as_array()) {
+    message.ids.push_back(it.to_number<uint64_t>());
+  }
+  return message;
+}
+
+Message DecodeHosts(const object& from) {
+  Hosts message;
+  for (const auto& it : from.at("links").as_array()) {
+    message.links.push_back(EndpointOf(it));
+  }
+  return message;
+}
+
+Message DecodeObject(const object& from) {
+  auto kind = TextAt(from, "kind");
+  if (kind == "hello") {
+    return Hello{TextAt(from, "name"), from.at("is_control").as_bool(),
+                 EndpointOf(from.at("link"))};
+  }
+  if (kind == "log") {
+    return DecodeLog(from);
+  }
+  if (kind == "join") {
+    return DecodeJoin(from);
+  }
+  if (kind == "records") {
+    return DecodeRecords(from);
+  }
+  if (kind == "refreshes") {
+    return DecodeRefreshes(from);
+  }
+  if (kind == "silences") {
+    return DecodeSilences(from);
+  }
+  if (kind == "hosts") {
+    return DecodeHosts(from);
+  }
+  if (kind == "complete") {
+    return Complete{};
+  }
+  if (kind == "view") {
+    return Must(catalog::ViewFromJson(from.at("view")));
+  }
+  throw std::invalid_argument("unknown kind " + kind);
+}
+
+}  // namespace
+
+std::string Encode(const Message& message) {
+  return std::visit(
+      [](const auto& it) { return boost::json::serialize(EncodePart(it)); },
+      message);
+}
+
+Result<Message> DecodeMessage(std::string_view text) {
+  BOOST_LEAF_AUTO(document, json::Parse(text));
+  return Decode([&] { return DecodeObject(document.as_object()); });
+}
+
+}  // namespace acaciahold::node
--- /dev/null
+++ b/lib/Node/node_settings.cc
@@ -0,0 +1,103 @@
+// Reads and checks the settings of a host that finds its group from seeds.
+
+#include "acaciahold/Node/node_settings.h"
+
+#include <array>
+
+#include "acaciahold/Yaml/field_reader.h"
+
+namespace acaciahold::node {
+namespace {
+
+using yaml::FaultList;
+using yaml::FieldReader;
+using yaml::UnsignedRange;
+
+constexpr UnsignedRange kPortRange{1, 65'535};
+constexpr UnsignedRange kIntervalMsRange{10, 600'000};
+
+void ReadSeeds(FieldReader& reader, NodeSettings& settings) {
+  for (const auto& text : reader.TextList("seeds")) {
+    auto seed = ParseEndpoint(text);
+    if (seed) {
+      settings.seeds.push_back(*seed);
+    } else {
+      reader.AddFault("seeds", "a list of IP:PORT, not '" + text + "'");
+    }
+  }
+  if (reader.Has("seeds") && settings.seeds.empty()) {
+    reader.AddFault("seeds", "at least one IP:PORT");
+  }
+}
+
+void ReadRole(FieldReader& reader, NodeSettings& settings) {
+  auto role = reader.Text("role").value_or("");
+  if (role == "entry") {
+    settings.role = NodeRole::kEntry;
+    settings.packets = reader.ReadEndpoint("packets").value_or(Endpoint());
+    settings.ready = reader.ReadEndpoint("ready").value_or(Endpoint());
+  } else if (role == "control") {
+    settings.role = NodeRole::kControl;
+    settings.admin = reader.ReadEndpoint("admin").value_or(Endpoint());
+    settings.data_folder = reader.Text("data_folder").value_or("");
+    auto founds = reader.TextOr("founds_group", "false");
+    settings.founds_group = founds == "true";
+    if (founds != "true" && founds != "false") {
+      reader.AddFault("founds_group", "true or false");
+    }
+  } else {
+    reader.AddFault("role", "entry or control");
+  }
+}
+
+Duration ReadMillis(FieldReader& reader, std::string_view key) {
+  return std::chrono::milliseconds(
+      reader.Unsigned(key, kIntervalMsRange).value_or(0));
+}
+
+}  // namespace
+
+bool IsNodeSettings(const std::string& path) {
+  auto document = yaml::LoadFile(path);
+  return document && document->IsMap() && (*document)["node"].IsDefined();
+}
+
+Result<NodeSettingsFile> ReadNodeSettings(const std::string& path) {
+  BOOST_LEAF_AUTO(document, yaml::LoadFile(path));
+  FaultList faults{path, {}};
+  FieldReader root(document, "", faults);
+  constexpr std::array<std::string_view, 1> kRootKeys{"node"};
+  root.CheckKeys(kRootKeys);
+  NodeSettingsFile file;
+  if (auto reader = root.Mapping("node")) {
+    constexpr std::array<std::string_view, 13> kKeys{
+        "name",    "failure_domain", "role",        "address",
+        "seeds",   "link_port",      "packets",     "ready",
+        "admin",   "data_folder",    "founds_group",
+        "announcement_interval_ms",  "grace_ms"};
+    reader->CheckKeys(kKeys);
+    auto& settings = file.settings;
+    settings.name = reader->Text("name").value_or("");
+    settings.failure_domain = reader->Text("failure_domain").value_or("");
+    settings.address = reader->ReadAddress("address").value_or(0);
+    settings.link_port = static_cast<uint16_t>(
+        reader->Unsigned("link_port", kPortRange).value_or(0));
+    settings.announcement_interval =
+        ReadMillis(*reader, "announcement_interval_ms");
+    settings.grace = ReadMillis(*reader, "grace_ms");
+    ReadSeeds(*reader, settings);
+    ReadRole(*reader, settings);
+  }
+  file.faults = std::move(faults.faults);
+  return file;
+}
+
+std::vector<Endpoint> SeedLinks(const NodeSettings& settings) {
+  std::vector<Endpoint> links;
+  for (const auto& seed : settings.seeds) {
+    links.push_back({seed.address, settings.link_port});
+  }
+  return links;
+}
+
+}  // namespace acaciahold::node
--- /dev/null
+++ b/lib/Node/packet_port.cc
@@ -0,0 +1,112 @@
+// Batched reading and writing of datagrams.
+
+#include "acaciahold/Node/packet_port.h"
+
+#include <cerrno>
+
+#include <arpa/inet.h>
+
+namespace acaciahold::node {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using boost::system::error_code;
+
+// A burst waits here while the process does other work.
+constexpr int kReceiveBufferBytes = 1 << 20;
+
+}  // namespace
+
+PacketPort::PacketPort(asio::io_context& io) : socket_(io) {
+  for (size_t i = 0; i < kBatchSize; ++i) {
+    in_vectors_[i] = {buffers_[i].data() + kPrefixRoom, kPacketBytes};
+    in_[i].msg_hdr.msg_iov = &in_vectors_[i];
+    in_[i].msg_hdr.msg_iovlen = 1;
+    out_addresses_[i].sin_family = AF_INET;
+    out_[i].msg_hdr.msg_iov = &out_vectors_[i];
+    out_[i].msg_hdr.msg_iovlen = 1;
+    out_[i].msg_hdr.msg_name = &out_addresses_[i];
+    out_[i].msg_hdr.msg_namelen = sizeof(sockaddr_in);
+  }
+}
+
+Result<std::unique_ptr<PacketPort>> PacketPort::Bind(asio::io_context& io,
+                                                     Endpoint endpoint) {
+  std::unique_ptr<PacketPort> port(new PacketPort(io));
+  error_code ec;
+  auto& socket = port->socket_;
+  socket.open(udp::v4(), ec);
+  if (!ec) {
+    socket.bind({asio::ip::address_v4(endpoint.address), endpoint.port}, ec);
+  }
+  if (!ec) {
+    socket.non_blocking(true, ec);
+  }
+  if (ec) {
+    return leaf::new_error(
+        SystemError{"bind " + FormatEndpoint(endpoint), ec.message()});
+  }
+  error_code ignored;  // A smaller buffer only drops more in a burst.
+  socket.set_option(asio::socket_base::receive_buffer_size(kReceiveBufferBytes),
+                    ignored);
+  return port;
+}
+
+void PacketPort::Start(Handler handler) {
+  handler_ = std::move(handler);
+  Wait();
+}
+
+void PacketPort::Wait() {
+  socket_.async_wait(udp::socket::wait_read, [this](error_code ec) {
+    if (ec) {
+      return;
+    }
+    ReadBatch();
+    Wait();
+  });
+}
+
+size_t PacketPort::ReadBatch() {
+  int n = ::recvmmsg(socket_.native_handle(), in_.data(), kBatchSize,
+                     MSG_DONTWAIT, nullptr);
+  if (n <= 0) {
+    return 0;  // Nothing there; the next wait reports what is wrong.
+  }
+  received_ += static_cast<uint64_t>(n);
+  size_t outgoing = 0;
+  for (int i = 0; i < n; ++i) {
+    std::span packet(buffers_[i].data() + kPrefixRoom, in_[i].msg_len);
+    auto action = handler_(packet);
+    if (action.bytes.empty()) {
+      continue;
+    }
+    out_vectors_[outgoing] = {action.bytes.data(), action.bytes.size()};
+    out_addresses_[outgoing].sin_addr.s_addr = htonl(action.to.address);
+    out_addresses_[outgoing].sin_port = htons(action.to.port);
+    ++outgoing;
+  }
+  SendBatch(outgoing);
+  return static_cast<size_t>(n);
+}
+
+void PacketPort::SendBatch(size_t n) {
+  size_t begin = 0;
+  while (begin < n) {
+    int sent = ::sendmmsg(socket_.native_handle(), out_.data() + begin,
+                          static_cast<unsigned>(n - begin), MSG_DONTWAIT);
+    if (sent < 0 && errno == EINTR) {
+      continue;
+    }
+    if (sent <= 0) {
+      ++send_failures_;  // This packet is dropped; its sender repeats it.
+      ++begin;
+      continue;
+    }
+    sent_ += static_cast<uint64_t>(sent);
+    begin += static_cast<size_t>(sent);
+  }
+}
+
+}  // namespace acaciahold::node
--- /dev/null
+++ b/lib/Steering/tag_steering.cc
@@ -0,0 +1,401 @@
+// Decisions on opening and later packets, and what is learned from them.
+
+#include "acaciahold/Steering/tag_steering.h"
+
+#include <algorithm>
+
+#include "acaciahold/Support/check.h"
+#include "acaciahold/Support/hash.h"
+
+namespace acaciahold::steering {
+namespace {
+
+using directory::Phase;
+
+uint64_t HashFlow(const TaggedFlow& flow) {
+  return CombineHashes(PackEndpoint(flow.caller), PackEndpoint(flow.listener));
+}
+
+uint32_t SlotOf(uint64_t flow_hash) {
+  return flow_hash % kRecentOpenings;
+}
+
+bool IsSilent(const TagSteering& steering, const TagUpstream& upstream) {
+  return steering.open_feeds != 0 &&
+         (upstream.silent_feeds & steering.open_feeds) == steering.open_feeds;
+}
+
+// Whether a later start announced itself at the same endpoint.
+bool IsSuperseded(const TagSteering& steering,
+                  const directory::Record& record) {
+  auto it = steering.latest_at.find(PackEndpoint(record.endpoint));
+  return it != steering.latest_at.end() && it->second != record.id;
+}
+
+// Keeps track of the latest start at the record's endpoint.
+void NoteEndpoint(TagSteering& steering, const directory::Record& record) {
+  auto& latest = steering.latest_at[PackEndpoint(record.endpoint)];
+  auto it = steering.directory.entries.find(latest);
+  bool is_later = it == steering.directory.entries.end() ||
+                  it->second.record.endpoint != record.endpoint ||
+                  it->second.record.born_ms < record.born_ms;
+  if (is_later) {
+    latest = record.id;
+  }
+}
+
+// How willingly an upstream is given new flows; lower goes first.
+enum class Rank { kGood, kDoubtful, kNever };
+
+Rank RankOf(const TagSteering& steering,
+            const TagUpstream& upstream,
+            const directory::Record& record,
+            Instant now) {
+  if (record.phase != Phase::kServing ||
+      steering.view.domains_out.contains(record.failure_domain)) {
+    return Rank::kNever;
+  }
+  bool is_doubtful =
+      IsSilent(steering, upstream) || now < upstream.avoid_deadline;
+  return is_doubtful ? Rank::kDoubtful : Rank::kGood;
+}
+
+// Fills the scratch lists with the service's upstreams of the best rank.
+void CollectCandidates(TagSteering& steering,
+                       std::string_view service,
+                       Instant now) {
+  auto& candidates = steering.scratch_candidates;
+  auto& upstreams = steering.scratch_upstreams;
+  candidates.clear();
+  upstreams.clear();
+  auto best = Rank::kDoubtful;
+  for (auto& [id, entry] : steering.directory.entries) {
+    if (entry.record.service != service) {
+      continue;
+    }
+    auto& upstream = steering.upstreams.at(id);
+    auto rank = RankOf(steering, upstream, entry.record, now);
+    if (rank > best || IsSuperseded(steering, entry.record)) {
+      continue;
+    }
+    if (rank < best) {
+      candidates.clear();
+      upstreams.clear();
+      best = rank;
+    }
+    upstream.candidate.is_cold = now < entry.cold_deadline;
+    candidates.push_back(&upstream.candidate);
+    upstreams.push_back(&upstream);
+  }
+}
+
+// The service of the listener that this flow belongs to; the same for all
+// copies and on every host.
+const std::string& ServiceOf(const catalog::Listener& listener,
+                             uint64_t flow_hash) {
+  uint64_t total = 0;
+  for (const auto& target : listener.targets) {
+    total += target.weight;
+  }
+  uint64_t point = total > 0 ? (flow_hash >> 16U) % total : 0;
+  for (const auto& target : listener.targets) {
+    if (point < target.weight) {
+      return target.service;
+    }
+    point -= target.weight;
+  }
+  return listener.targets.back().service;
+}
+
+TagDecision Forward(const TagSteering& steering,
+                    const TagUpstream& upstream,
+                    TagReason reason) {
+  const auto& entry = steering.directory.entries.at(upstream.id);
+  return {TagVerdict::kForward, reason, upstream.id, entry.record.endpoint,
+          upstream.tag};
+}
+
+void OnAnswered(TagUpstream& upstream) {
+  upstream.unanswered = 0;
+  upstream.avoid_time = kAvoidTimeMin;
+  upstream.avoid_deadline = Instant();
+}
+
+void OnUnanswered(TagUpstream& upstream, Instant now) {
+  ++upstream.unanswered;
+  if (upstream.unanswered < kMaxUnanswered || now < upstream.avoid_deadline) {
+    return;
+  }
+  upstream.avoid_deadline = now + upstream.avoid_time;
+  upstream.avoid_time = std::min(upstream.avoid_time * 2, kAvoidTimeMax);
+}
+
+TagUpstream* FindTag(TagSteering& steering, Tag tag) {
+  auto it = steering.by_tag.find(tag);
+  return it == steering.by_tag.end() ? nullptr : it->second;
+}
+
+void Remember(TagSteering& steering,
+              const Opening& opening,
+              uint64_t flow_hash,
+              Tag tag,
+              Instant now) {
+  uint32_t slot = SlotOf(flow_hash);
+  steering.recent[slot] = {flow_hash, opening.sequence, tag, now, false};
+  steering.awaiting.push_back(slot);
+}
+
+// Chooses an upstream for a new flow, not the one with the tag `passed_over`.
+TagDecision Place(TagSteering& steering,
+                  const std::string& service,
+                  Tag passed_over,
+                  Instant now) {
+  CollectCandidates(steering, service, now);
+  const auto& upstreams = steering.scratch_upstreams;
+  int excluded = -1;
+  for (size_t i = 0; i < upstreams.size(); ++i) {
+    if (upstreams[i]->tag == passed_over && upstreams.size() > 1) {
+      excluded = static_cast<int>(i);
+    }
+  }
+  int chosen = PickCandidate(steering.scratch_candidates, excluded, now);
+  if (chosen < 0) {
+    return {TagVerdict::kReset, TagReason::kNoUpstream, 0, {}, 0};
+  }
+  return Forward(steering, *upstreams[chosen], TagReason::kPlaced);
+}
+
+TagUpstream& EnsureUpstream(TagSteering& steering,
+                            const directory::Record& record) {
+  auto [it, is_new] = steering.upstreams.try_emplace(record.id);
+  auto& upstream = it->second;
+  if (is_new) {
+    upstream.id = record.id;
+    upstream.tag = TagOf(record.id);
+    // Feeds other than the first to tell have not heard of it yet; they will.
+    upstream.silent_feeds = 0;
+    steering.by_tag[upstream.tag] = &upstream;
+  }
+  upstream.candidate.slots = std::max(1U, record.slots);
+  upstream.candidate.is_local =
+      record.failure_domain == steering.failure_domain;
+  return upstream;
+}
+
+// Gives an upstream a turn in its service's rotation, and a clean slate.
+void Enroll(TagSteering& steering,
+            TagUpstream& upstream,
+            const directory::Record& record,
+            Instant now) {
+  CollectCandidates(steering, record.service, now);
+  std::uniform_real_distribution<double> jitter(0.0, 1.0);
+  JoinRotation(upstream.candidate, steering.scratch_candidates,
+               jitter(steering.random));
+  upstream.candidate.load = {};
+  OnAnswered(upstream);
+}
+
+}  // namespace
+
+Tag TagOf(directory::UpstreamId id) {
+  auto tag = static_cast<Tag>(id ^ (id >> 32U));
+  return tag == 0 ? 1 : tag;
+}
+
+TagSteering MakeTagSteering(std::string failure_domain, uint64_t seed) {
+  TagSteering steering;
+  steering.failure_domain = std::move(failure_domain);
+  steering.random.seed(seed);
+  steering.recent.resize(kRecentOpenings);
+  return steering;
+}
+
+bool OnView(TagSteering& steering, catalog::View view) {
+  if (view.revision <= steering.view.revision) {
+    return false;
+  }
+  steering.view = std::move(view);
+  steering.listeners.clear();
+  for (const auto& listener : steering.view.catalog.listeners) {
+    steering.listeners[PackEndpoint(listener.endpoint)] = &listener;
+  }
+  return true;
+}
+
+bool OnRecord(TagSteering& steering,
+              uint32_t feed,
+              const directory::Record& record,
+              Instant now) {
+  auto known = steering.directory.entries.find(record.id);
+  bool is_start = known == steering.directory.entries.end() ||
+                  known->second.record.born_ms < record.born_ms;
+  auto change = directory::Merge(steering.directory, record, now);
+  auto& upstream = EnsureUpstream(
+      steering, steering.directory.entries.at(record.id).record);
+  if (change != directory::Change::kStale) {
+    upstream.silent_feeds = 0;
+    NoteEndpoint(steering, record);
+  }
+  upstream.silent_feeds &= ~(FeedMask{1} << feed);
+  steering.directory.entries.at(record.id).is_silent = false;
+  if (is_start) {
+    Enroll(steering, upstream, record, now);
+  }
+  return change == directory::Change::kChanged;
+}
+
+bool OnSilence(TagSteering& steering,
+               uint32_t feed,
+               directory::UpstreamId id,
+               Instant now) {
+  auto it = steering.upstreams.find(id);
+  if (it == steering.upstreams.end()) {
+    return false;
+  }
+  it->second.silent_feeds |= FeedMask{1} << feed;
+  auto& entry = steering.directory.entries.at(id);
+  bool is_change = !entry.is_silent && IsSilent(steering, it->second);
+  if (is_change) {
+    entry.is_silent = true;
+    entry.heard_at = now;
+  }
+  return is_change;
+}
+
+void OnFeedBegin(TagSteering& steering, uint32_t feed) {
+  FeedMask bit = FeedMask{1} << feed;
+  steering.open_feeds &= ~bit;
+  // What the feed does not tell of, it has not heard.
+  for (auto& [id, upstream] : steering.upstreams) {
+    upstream.silent_feeds |= bit;
+  }
+}
+
+void OnFeedComplete(TagSteering& steering, uint32_t feed) {
+  steering.open_feeds |= FeedMask{1} << feed;
+}
+
+void OnFeedLost(TagSteering& steering, uint32_t feed, Instant now) {
+  FeedMask rest = steering.open_feeds & ~(FeedMask{1} << feed);
+  if (rest == 0) {
+    return;  // Cut off: what was last known goes on to hold.
+  }
+  steering.open_feeds = rest;
+  for (auto& [id, upstream] : steering.upstreams) {
+    auto& entry = steering.directory.entries.at(id);
+    if (!entry.is_silent && IsSilent(steering, upstream)) {
+      entry.is_silent = true;
+      entry.heard_at = now;
+    }
+  }
+}
+
+TagDecision OnOpening(TagSteering& steering,
+                      const Opening& opening,
+                      Instant now) {
+  if (steering.view.catalog.version == 0) {
+    return {};
+  }
+  auto it = steering.listeners.find(PackEndpoint(opening.flow.listener));
+  if (it == steering.listeners.end()) {
+    return {TagVerdict::kReset, TagReason::kNoListener, 0, {}, 0};
+  }
+  uint64_t hash = HashFlow(opening.flow);
+  auto& recent = steering.recent[SlotOf(hash)];
+  bool is_known =
+      recent.flow_hash == hash && recent.sequence == opening.sequence;
+  auto* first = is_known ? FindTag(steering, recent.tag) : nullptr;
+  bool has_time =
+      first && (recent.is_answered || now < recent.placed_at + kAnswerTimeout);
+  if (has_time) {
+    return Forward(steering, *first, TagReason::kCopy);
+  }
+  if (first) {
+    OnUnanswered(*first, now);
+  }
+  auto decision = Place(steering, ServiceOf(*it->second, hash),
+                        first ? first->tag : 0, now);
+  if (decision.verdict == TagVerdict::kForward) {
+    Remember(steering, opening, hash, decision.tag, now);
+  }
+  if (first && decision.verdict == TagVerdict::kForward) {
+    decision.reason = TagReason::kReplaced;
+  }
+  return decision;
+}
+
+TagDecision OnTagged(TagSteering& steering,
+                     const TaggedFlow& flow,
+                     Tag tag,
+                     uint32_t requests,
+                     Instant now) {
+  auto* upstream = FindTag(steering, tag);
+  if (!upstream) {
+    return {TagVerdict::kDrop, TagReason::kUnknownTag, 0, {}, tag};
+  }
+  uint64_t hash = HashFlow(flow);
+  auto& recent = steering.recent[SlotOf(hash)];
+  if (recent.flow_hash == hash && !recent.is_answered) {
+    recent.is_answered = true;
+    OnAnswered(*upstream);
+  }
+  if (requests > 0) {
+    CountLoad(upstream->candidate.load, requests, now);
+  }
+  return Forward(steering, *upstream, TagReason::kByTag);
+}
+
+void OnTick(TagSteering& steering, Instant now) {
+  while (!steering.awaiting.empty()) {
+    auto& recent = steering.recent[steering.awaiting.front()];
+    if (!recent.is_answered && now < recent.placed_at + kOpenTimeout) {
+      return;
+    }
+    steering.awaiting.pop_front();
+    auto* upstream = FindTag(steering, recent.tag);
+    if (!recent.is_answered && upstream) {
+      OnUnanswered(*upstream, now);
+    }
+    recent.is_answered = true;
+  }
+}
+
+void ForgetUpstreams(TagSteering& steering, Instant now) {
+  std::erase_if(steering.latest_at, [&](const auto& it) {
+    return !steering.directory.entries.contains(it.second);
+  });
+  for (auto id : directory::ForgetOld(steering.directory, now)) {
+    auto it = steering.upstreams.find(id);
+    AssertInvariant(it != steering.upstreams.end(),
+                    "every directory entry has its upstream");
+    auto by_tag = steering.by_tag.find(it->second.tag);
+    if (by_tag != steering.by_tag.end() && by_tag->second == &it->second) {
+      steering.by_tag.erase(by_tag);
+    }
+    steering.upstreams.erase(it);
+  }
+}
+
+std::string_view TagReasonName(TagReason reason) {
+  switch (reason) {
+    case TagReason::kPlaced:
+      return "placed";
+    case TagReason::kCopy:
+      return "copy";
+    case TagReason::kReplaced:
+      return "replaced";
+    case TagReason::kByTag:
+      return "by_tag";
+    case TagReason::kNoListener:
+      return "no_listener";
+    case TagReason::kNoTable:
+      return "no_table";
+    case TagReason::kNoUpstream:
+      return "no_upstream";
+    case TagReason::kUnknownTag:
+      return "unknown_tag";
+  }
+  return "unknown_tag";
+}
+
+}  // namespace acaciahold::steering
--- a/tools/acaciahold/main.cc
+++ b/tools/acaciahold/main.cc
@@ -13,19 +13,25 @@
 
 #include "acaciahold/Config/settings.h"
 #include "acaciahold/Host/host.h"
+#include "acaciahold/Node/node_settings.h"
 #include "acaciahold/Operator/commands.h"
 #include "acaciahold/Storage/data_folder.h"
+#include "run.h"
 
 namespace acaciahold {
 namespace {
 
 constexpr const char* kVersion = "acaciahold 0.1.0";
 
+// Names the settings file where the command line does not.
+constexpr const char* kConfigVariable = "ACACIAHOLD_CONFIG";
+
 constexpr const char* kUsage =
     "usage: acaciahold COMMAND [options]\n"
     "\n"
     "  run --config FILE            run a host until SIGTERM\n"
-    "  check --config FILE          check a settings file\n"
+    "  check --config FILE          check a settings file; the variable\n"
+    "                               ACACIAHOLD_CONFIG may name it as well\n"
     "  init --config FILE [--join]  prepare a control host's data folder\n"
     "  table get                    print the service table\n"
     "  table diff FILE              show what applying FILE would change\n"
@@ -109,7 +115,11 @@
     words.commands.emplace_back(word);
   }
   poptFreeContext(context);
+  const char* config_variable = std::getenv(kConfigVariable);
   words.config = TextOf(config);
+  if (words.config.empty() && config_variable) {
+    words.config = config_variable;
+  }
   words.control = TextOf(control);
   words.admin = TextOf(admin);
   words.author = TextOf(author);
@@ -125,12 +135,13 @@
   return std::nullopt;
 }
 
-// Settings of the file; prints every fault.
-std::optional<config::Settings> LoadSettings(const std::string& path) {
-  std::optional<config::Settings> settings;
+// Settings of the file as `read` takes them; prints every fault.
+template <typename Settings, typename Read>
+std::optional<Settings> LoadSettings(const std::string& path, Read read) {
+  std::optional<Settings> settings;
   leaf::try_handle_all(
       [&]() -> Result<void> {
-        BOOST_LEAF_AUTO(file, config::ReadSettings(path));
+        BOOST_LEAF_AUTO(file, read(path));
         for (const auto& fault : file.faults) {
           std::cerr << Describe(fault) << "\n";
         }
@@ -145,6 +156,14 @@
   return settings;
 }
 
+std::optional<config::Settings> LoadHostSettings(const std::string& path) {
+  return LoadSettings<config::Settings>(path, config::ReadSettings);
+}
+
+std::optional<node::NodeSettings> LoadNodeSettings(const std::string& path) {
+  return LoadSettings<node::NodeSettings>(path, node::ReadNodeSettings);
+}
+
 int Guarded(const std::function<Result<int>()>& action) {
   return leaf::try_handle_all(
       action,
@@ -166,8 +185,19 @@
       });
 }
 
+int RunNode(const Words& words) {
+  auto settings = LoadNodeSettings(words.config);
+  if (!settings) {
+    return op::kBadUsage;
+  }
+  return Guarded([&] { return platform::RunNode(*settings, words.config); });
+}
+
 int Run(const Words& words) {
-  auto settings = LoadSettings(words.config);
+  if (node::IsNodeSettings(words.config)) {
+    return RunNode(words);
+  }
+  auto settings = LoadHostSettings(words.config);
   if (!settings) {
     return op::kBadUsage;
   }
@@ -177,7 +207,10 @@
 }
 
 int Check(const Words& words) {
-  if (!LoadSettings(words.config)) {
+  bool is_good = node::IsNodeSettings(words.config)
+                     ? LoadNodeSettings(words.config).has_value()
+                     : LoadHostSettings(words.config).has_value();
+  if (!is_good) {
     return op::kBadUsage;
   }
   std::cout << words.config << ": no faults\n";
@@ -185,7 +218,7 @@
 }
 
 int Init(const Words& words) {
-  auto settings = LoadSettings(words.config);
+  auto settings = LoadHostSettings(words.config);
   if (!settings) {
     return op::kBadUsage;
   }
@@ -269,10 +302,9 @@
 
 int RunCommand(const Words& words) {
   const auto& command = words.commands.front();
-  bool has_config = !words.config.empty();
   if (command == "run" || command == "check" || command == "init") {
-    if (!has_config) {
-      return BadUsage(command + " wants --config FILE");
+    if (words.config.empty()) {
+      return BadUsage(command + " wants --config FILE or " + kConfigVariable);
     }
     if (command == "run") {
       return Run(words);
