Place new flows on the failure domain's own upstreams first

Ruled out: slow recovery of single flows; they come back within their retries. Change: other domains' upstreams get 0.08 of the own ones' part, not 0.8.

--- a/include/acaciahold/Steering/placement.h
+++ b/include/acaciahold/Steering/placement.h
@@ -46,7 +46,7 @@
 // A cold upstream is taken to be this much slower.
 inline constexpr double kColdSpeed = 0.5;
 // Other failure domains' upstreams get this times the own ones' part.
-inline constexpr double kRemoteWeight = 0.8;
+inline constexpr double kRemoteWeight = 0.08;
 
 // Picks the candidate whose turn it is and moves its turn on. Returns an index,
 // or -1 where there is none. `excluded` is an index that is passed over, or -1.
