Start a group and its feeds from what the disk holds

Ruled out: slow processes; an entry host starts within 0.15 s. Change: a commit hint beside the log (not synced), the directory as notes in the data folder, pre-votes after 150 to 400 ms until a leader is heard, connect timeout 300 ms.

--- a/include/acaciahold/Consensus/replica.h
+++ b/include/acaciahold/Consensus/replica.h
@@ -24,6 +24,12 @@
 inline constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(200);
 inline constexpr Duration kElectionTimeoutMin = std::chrono::milliseconds(1000);
 inline constexpr Duration kElectionTimeoutMax = std::chrono::milliseconds(2000);
+// Until a leader is heard of after a start: the group may have started as a
+// whole, and asking for pre-votes disturbs nobody.
+inline constexpr Duration kStartElectionTimeoutMin =
+    std::chrono::milliseconds(150);
+inline constexpr Duration kStartElectionTimeoutMax =
+    std::chrono::milliseconds(400);
 inline constexpr size_t kMaxEntriesPerAppend = 64;
 // Beyond this a message takes no further entry.
 inline constexpr size_t kMaxBytesPerAppend = 1U << 20U;
@@ -46,7 +52,11 @@
   std::optional<Snapshot> snapshot;  // The log before and at it is dropped.
   std::optional<Index> truncate_from;
   std::vector<LogEntry> append;
+  // Entries up to it are committed. A hint for the next start, which need not
+  // be durable.
+  std::optional<Index> commit_hint;
 
+  // Whether nothing has to become durable.
   bool IsEmpty() const {
     return !hard_state && !snapshot && !truncate_from && append.empty();
   }
@@ -94,6 +104,7 @@
   HardState hard;
   Snapshot snapshot;
   std::vector<LogEntry> entries;
+  Index commit_hint = 0;  // May lie behind, never ahead of, what is committed.
 };
 
 enum class ProposeStatus { kAccepted, kNotLeader, kBusy };
@@ -107,6 +118,9 @@
 
 Replica StartReplica(StartState start, Instant now);
 
+// To be called once after StartReplica: applies what is known to be committed.
+Output OnStart(Replica& replica);
+
 // To be called at NextDeadline or later.
 Output OnTick(Replica& replica, Instant now);
 Output OnMessage(Replica& replica, const Message& message, Instant now);
--- a/include/acaciahold/Link/link.h
+++ b/include/acaciahold/Link/link.h
@@ -19,8 +19,10 @@
 namespace acaciahold::link {
 
 // A lost session is opened again after so long: hosts restart within a second.
-inline constexpr std::chrono::milliseconds kReconnectDelay{150};
-inline constexpr std::chrono::milliseconds kConnectTimeout{1'000};
+inline constexpr std::chrono::milliseconds kReconnectDelay{100};
+// Many round trips within a region. A host without power does not answer, and
+// the next attempt finds it started.
+inline constexpr std::chrono::milliseconds kConnectTimeout{300};
 
 class Connector : public std::enable_shared_from_this<Connector> {
  public:
--- a/include/acaciahold/Node/control_node.h
+++ b/include/acaciahold/Node/control_node.h
@@ -95,6 +95,8 @@
   void CheckSilence(Instant now);
   void AskToJoin(Instant now);
   void SetComplete();
+  Records WholeDirectory(Instant now) const;
+  void LoadNotes(std::string_view notes);
 
   boost::asio::io_context& io_;
   NodeSettings settings_;
@@ -112,6 +114,7 @@
   std::vector<Endpoint> heard_hosts_;  // From other control hosts.
   // Whether the directory has what other hosts knew when this one started.
   bool is_complete_ = false;
+  bool has_unstored_news_ = false;  // The notes lie behind the directory.
   Instant complete_deadline_;
   Instant join_deadline_;
 };
--- a/include/acaciahold/Node/group_shell.h
+++ b/include/acaciahold/Node/group_shell.h
@@ -47,6 +47,8 @@
     std::function<void(const consensus::LogEntry& entry)> apply;
     std::function<void(std::string_view data)> restore;
     std::function<std::string()> snapshot;
+    // What StoreNotes kept; empty where nothing did.
+    std::function<void(std::string_view notes)> load_notes;
     std::function<void()> on_members;  // The list or the leader has changed.
   };
 
@@ -68,6 +70,9 @@
   // committed before the call, with false where that is not known.
   void ConfirmRead(std::function<void(bool)> done);
 
+  // Keeps soft state that makes the next start faster.
+  void StoreNotes(std::string_view notes);
+
   bool is_leader() const {
     return !has_failed_ && replica_.role == consensus::Role::kLeader;
   }
--- a/include/acaciahold/Storage/data_folder.h
+++ b/include/acaciahold/Storage/data_folder.h
@@ -1,7 +1,8 @@
 // The durable state of a control host: one folder, used by one process.
 //
 // Files: `lock`; `identity`, written once; `hard-state` and `snapshot`, each
-// replaced as a whole; `log`, appended to. Every file begins with a format
+// replaced as a whole; `log`, appended to; `commit`, a hint that may be missing
+// or torn; `notes`, which the owner may do without. Every other file begins with a format
 // version, and every record carries its length and a checksum. A record is
 // safe only once it is synced; a torn record at the end of the log is cut off
 // on opening, and damage anywhere else is refused.
@@ -12,6 +13,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "acaciahold/Consensus/replica.h"
@@ -42,6 +44,8 @@
   consensus::HardState hard;
   consensus::Snapshot snapshot;
   std::vector<consensus::LogEntry> entries;
+  consensus::Index commit_hint = 0;
+  std::string notes;  // Empty where there are none, or they are damaged.
   uint64_t torn_bytes = 0;  // Cut from the end of the log.
 };
 
@@ -64,15 +68,21 @@
   // Fails with SystemError.
   Result<void> Write(const consensus::Persist& persist);
 
+  // Replaces the owner's notes, and syncs them. Fails with SystemError; the
+  // folder may be used on.
+  Result<void> WriteNotes(std::string_view notes);
+
  private:
   DataFolder() = default;
 
   Result<void> AppendRecord(const std::string& payload);
   Result<void> RewriteLog();
+  Result<void> WriteCommitHint(consensus::Index index);
 
   std::string path_;
   FileDescriptor lock_;
   FileDescriptor log_;
+  FileDescriptor commit_;
   // Invariant: the entries in the log file, after truncations.
   std::vector<consensus::LogEntry> entries_;
 };
--- a/lib/Consensus/replica.cc
+++ b/lib/Consensus/replica.cc
@@ -55,8 +55,10 @@
 }
 
 void ResetElectionDeadline(Replica& replica, Instant now) {
+  bool is_starting = replica.current_as_of == Instant();
   std::uniform_int_distribution<Duration::rep> spread(
-      kElectionTimeoutMin.count(), kElectionTimeoutMax.count());
+      (is_starting ? kStartElectionTimeoutMin : kElectionTimeoutMin).count(),
+      (is_starting ? kStartElectionTimeoutMax : kElectionTimeoutMax).count());
   replica.election_deadline = now + Duration(spread(replica.random));
 }
 
@@ -117,6 +119,9 @@
 }
 
 void CollectCommitted(Replica& replica, Output& output) {
+  if (replica.applied < replica.commit) {
+    output.persist.commit_hint = replica.commit;
+  }
   while (replica.applied < replica.commit) {
     const auto* entry = EntryAt(replica, ++replica.applied);
     AssertInvariant(entry, "a committed entry is in the log");
@@ -550,13 +555,20 @@
   replica.hard = std::move(start.hard);
   replica.snapshot = std::move(start.snapshot);
   replica.entries.assign(start.entries.begin(), start.entries.end());
-  replica.commit = replica.snapshot.index;
+  replica.commit = std::max(replica.snapshot.index,
+                            std::min(start.commit_hint, LastIndex(replica)));
   replica.applied = replica.snapshot.index;
   FindMembers(replica);
   ResetElectionDeadline(replica, now);
   return replica;
 }
 
+Output OnStart(Replica& replica) {
+  Output output;
+  CollectCommitted(replica, output);
+  return output;
+}
+
 Output OnTick(Replica& replica, Instant now) {
   Output output;
   if (replica.role == Role::kLeader) {
--- a/lib/Host/control_shell.cc
+++ b/lib/Host/control_shell.cc
@@ -128,12 +128,17 @@
   start.hard = std::move(stored.hard);
   start.snapshot = std::move(stored.snapshot);
   start.entries = std::move(stored.entries);
+  start.commit_hint = stored.commit_hint;
   shell->replica_ = consensus::StartReplica(std::move(start), ReadClock());
   return shell;
 }
 
 void ControlShell::Start(TableListener listener) {
   listener_ = std::move(listener);
+  {
+    std::lock_guard lock(mutex_);
+    Process(consensus::OnStart(replica_));
+  }
   asio::co_spawn(io_, Tick(), asio::detached);
 }
 
@@ -172,7 +177,7 @@
 
 void ControlShell::Process(consensus::Output output) {
   auto role_before = replica_.role;
-  if (!output.persist.IsEmpty()) {
+  if (!output.persist.IsEmpty() || output.persist.commit_hint) {
     bool is_written = leaf::try_handle_all(
         [&]() -> Result<bool> {
           BOOST_LEAF_CHECK(folder_.Write(output.persist));
--- a/lib/Node/control_node.cc
+++ b/lib/Node/control_node.cc
@@ -66,6 +66,7 @@
   handlers.snapshot = [this] {
     return boost::json::serialize(catalog::ToJson(state_));
   };
+  handlers.load_notes = [this](std::string_view notes) { LoadNotes(notes); };
   handlers.on_members = [this] {
     UpdateLinks();
     SendToControlHosts(Hosts{KnownHosts()});
@@ -94,6 +95,9 @@
   }
   CheckSilence(now);
   AskToJoin(now);
+  if (std::exchange(has_unstored_news_, false)) {
+    group_->StoreNotes(Encode(WholeDirectory(now)));
+  }
   if (!is_complete_ && now >= complete_deadline_) {
     SetComplete();
   }
@@ -127,6 +131,36 @@
   SendToControlHosts(JoinMessage{group_->MakeJoinRequest()});
 }
 
+// The directory as others are to take it in, without what is silent.
+Records ControlNode::WholeDirectory(Instant now) const {
+  Records records;
+  records.is_whole = is_complete_;
+  for (const auto& [id, entry] : directory_.entries) {
+    if (!entry.is_silent) {
+      records.records.push_back(directory::CurrentRecord(entry, now));
+    }
+  }
+  return records;
+}
+
+// Starts from the upstreams that were known before a restart. Those that have
+// left since are silent soon.
+void ControlNode::LoadNotes(std::string_view notes) {
+  if (notes.empty()) {
+    return;
+  }
+  auto message = DecodeMessage(notes);
+  const auto* records = message ? std::get_if<Records>(&*message) : nullptr;
+  if (!records) {
+    LogEvent(Weight::kNotable, "notes_unreadable", {{"bytes", notes.size()}});
+    return;
+  }
+  for (const auto& record : records->records) {
+    directory::Merge(directory_, record, ReadClock());
+  }
+  is_complete_ = is_complete_ || !records->records.empty();
+}
+
 void ControlNode::SetComplete() {
   is_complete_ = true;
   LogEvent(Weight::kNotable, "directory_complete",
@@ -231,6 +265,7 @@
   Instant now = ReadClock();
   for (const auto& record : message.records) {
     if (directory::Merge(directory_, record, now) == Change::kChanged) {
+      has_unstored_news_ = true;
       LogUpstream(directory_.entries.at(record.id), "told");
       SendToEntryHosts(Records{{record}, false});
     }
@@ -274,15 +309,7 @@
            {{"link", FormatEndpoint(to)}});
   auto& connector = *links_.at(to);
   connector.Send(Encode(Hello{settings_.name, true, settings_.link()}));
-  Instant now = ReadClock();
-  Records records;
-  records.is_whole = is_complete_;
-  for (const auto& [id, entry] : directory_.entries) {
-    if (!entry.is_silent) {
-      records.records.push_back(directory::CurrentRecord(entry, now));
-    }
-  }
-  connector.Send(Encode(records));
+  connector.Send(Encode(WholeDirectory(ReadClock())));
   if (group_->Leader()) {
     connector.Send(Encode(Hosts{KnownHosts()}));
   }
@@ -386,6 +413,7 @@
 
 void ControlNode::SpreadRecord(directory::UpstreamId id) {
   const auto& entry = directory_.entries.at(id);
+  has_unstored_news_ = true;
   LogUpstream(entry, "announced");
   Records news{{directory::CurrentRecord(entry, ReadClock())}, false};
   SendToEntryHosts(news);
--- a/lib/Node/group_shell.cc
+++ b/lib/Node/group_shell.cc
@@ -94,7 +94,12 @@
   start.hard = std::move(stored.hard);
   start.snapshot = std::move(stored.snapshot);
   start.entries = std::move(stored.entries);
+  start.commit_hint = stored.commit_hint;
   replica_ = consensus::StartReplica(std::move(start), ReadClock());
+  handlers_.load_notes(stored.notes);
+  for (const auto& entry : consensus::OnStart(replica_).committed) {
+    Apply(entry);
+  }
   return {};
 }
 
@@ -136,7 +141,8 @@
 
 void GroupShell::Process(consensus::Output output) {
   bool was_leader = is_leader();
-  if (!output.persist.IsEmpty() && !Store(output.persist)) {
+  bool has_news = !output.persist.IsEmpty() || output.persist.commit_hint;
+  if (has_news && !Store(output.persist)) {
     StopReplica();
     return;
   }
@@ -208,6 +214,20 @@
       [] { LogEvent(Weight::kRoutine, "disk_still_lost", {}); });
 }
 
+void GroupShell::StoreNotes(std::string_view notes) {
+  if (has_failed_) {
+    return;
+  }
+  leaf::try_handle_all([&] { return folder_->WriteNotes(notes); },
+                       [](const SystemError& e) {
+                         LogEvent(Weight::kNotable, "notes_not_stored",
+                                  {{"reason", Describe(e)}});
+                       },
+                       [] {
+                         LogEvent(Weight::kNotable, "notes_not_stored", {});
+                       });
+}
+
 void GroupShell::Apply(const consensus::LogEntry& entry) {
   if (entry.kind == consensus::EntryKind::kCommand) {
     handlers_.apply(entry);
--- a/lib/Storage/data_folder.cc
+++ b/lib/Storage/data_folder.cc
@@ -3,6 +3,7 @@
 #include "acaciahold/Storage/data_folder.h"
 
 #include <cerrno>
+#include <charconv>
 #include <cstring>
 #include <filesystem>
 
@@ -210,6 +211,31 @@
   return {};
 }
 
+// The hint, or 0 where there is none to be trusted.
+consensus::Index ReadCommitHint(const std::string& path) {
+  auto bytes = ReadFile(path);
+  if (!bytes) {
+    return 0;
+  }
+  auto scan = ScanRecords(*bytes);
+  consensus::Index index = 0;
+  if (!scan.payloads.empty()) {
+    auto text = scan.payloads.front();
+    std::from_chars(text.data(), text.data() + text.size(), index);
+  }
+  return index;
+}
+
+// The notes, or nothing where they are missing or damaged.
+std::string ReadNotes(const std::string& path) {
+  auto bytes = ReadFile(path);
+  if (!bytes || bytes->size() < kFileHeader.size()) {
+    return "";
+  }
+  auto scan = ScanRecords(std::string_view(*bytes).substr(kFileHeader.size()));
+  return scan.payloads.size() == 1 ? std::string(scan.payloads[0]) : "";
+}
+
 }  // namespace
 
 FileDescriptor::FileDescriptor(FileDescriptor&& other) noexcept
@@ -240,6 +266,10 @@
   BOOST_LEAF_CHECK(
       ReplaceFile(path, "hard-state", Encode(ToJson(consensus::HardState()))));
   BOOST_LEAF_CHECK(ReplaceFile(path, "log", ""));
+  // Of an earlier replica whose folder was emptied in part.
+  std::error_code ec;
+  std::filesystem::remove(path + "/commit", ec);
+  std::filesystem::remove(path + "/notes", ec);
   json::value identity{{"replica_id", replica_id}, {"instance", instance}};
   return ReplaceFile(path, "identity", Encode(identity));
 }
@@ -276,6 +306,10 @@
         "the log does not follow the snapshot", kReplaceRemedy});
   }
   folder.entries_ = state.entries;
+  state.commit_hint = ReadCommitHint(path + "/commit");
+  state.notes = ReadNotes(path + "/notes");
+  BOOST_LEAF_ASSIGN(folder.commit_,
+                    OpenFile(path + "/commit", O_WRONLY | O_CREAT));
   BOOST_LEAF_ASSIGN(folder.log_, OpenFile(path + "/log", O_WRONLY | O_APPEND));
   return folder;
 }
@@ -295,7 +329,23 @@
   return {};
 }
 
+Result<void> DataFolder::WriteCommitHint(consensus::Index index) {
+  std::string record = EncodeRecord(std::to_string(index));
+  if (::pwrite(commit_.get(), record.data(), record.size(), 0) !=
+      static_cast<ssize_t>(record.size())) {
+    return leaf::new_error(LastError("write " + path_ + "/commit"));
+  }
+  return {};
+}
+
+Result<void> DataFolder::WriteNotes(std::string_view notes) {
+  return ReplaceFile(path_, "notes", EncodeRecord(notes));
+}
+
 Result<void> DataFolder::Write(const consensus::Persist& persist) {
+  if (persist.commit_hint) {
+    BOOST_LEAF_CHECK(WriteCommitHint(*persist.commit_hint));
+  }
   if (persist.hard_state) {
     BOOST_LEAF_CHECK(
         ReplaceFile(path_, "hard-state", Encode(ToJson(*persist.hard_state))));
--- a/unittests/Consensus/cluster.cc
+++ b/unittests/Consensus/cluster.cc
@@ -116,11 +116,13 @@
   start.hard = node.disk.hard;
   start.snapshot = node.disk.snapshot;
   start.entries = node.disk.entries;
+  start.commit_hint = node.disk.commit_hint;
   node.replica = StartReplica(std::move(start), now_);
   ++node.life;
   node.applied_index = node.disk.snapshot.index;
   history_.push_back(
       {EventKind::kReset, node.id, node.life, node.applied_index, ""});
+  Carry(node, OnStart(*node.replica));
 }
 
 void Cluster::Crash(Node& node) {
@@ -149,6 +151,10 @@
     return;
   }
   auto& disk = node.disk;
+  // The hint is not synced, so that a crash may leave an older one.
+  if (output.persist.commit_hint && Chance(0.5)) {
+    disk.commit_hint = *output.persist.commit_hint;
+  }
   if (output.persist.hard_state) {
     disk.hard = *output.persist.hard_state;
   }
--- a/unittests/Consensus/cluster.h
+++ b/unittests/Consensus/cluster.h
@@ -58,6 +58,7 @@
  private:
   struct Disk {
     uint64_t instance = 0;
+    Index commit_hint = 0;
     HardState hard;
     Snapshot snapshot;
     std::vector<LogEntry> entries;
