--- a/include/acaciahold/Consensus/replica.h
+++ b/include/acaciahold/Consensus/replica.h
@@ -27,9 +27,9 @@
 // Until a leader is heard of after a start: the group may have started as a
 // whole, and asking for pre-votes disturbs nobody.
 inline constexpr Duration kStartElectionTimeoutMin =
-    std::chrono::milliseconds(150);
+    std::chrono::milliseconds(80);
 inline constexpr Duration kStartElectionTimeoutMax =
-    std::chrono::milliseconds(400);
+    std::chrono::milliseconds(250);
 inline constexpr size_t kMaxEntriesPerAppend = 64;
 // Beyond this a message takes no further entry.
 inline constexpr size_t kMaxBytesPerAppend = 1U << 20U;
--- a/include/acaciahold/Node/control_node.h
+++ b/include/acaciahold/Node/control_node.h
@@ -91,6 +91,7 @@
 
   void Apply(const consensus::LogEntry& entry);
   void Restore(std::string_view data);
+  void SpreadView();
   void Tick();
   void CheckSilence(Instant now);
   void AskToJoin(Instant now);
@@ -114,6 +115,7 @@
   std::vector<Endpoint> heard_hosts_;  // From other control hosts.
   // Whether the directory has what other hosts knew when this one started.
   bool is_complete_ = false;
+  bool is_view_due_ = false;  // Entry hosts are told of the view soon.
   bool has_unstored_news_ = false;  // The notes lie behind the directory.
   Instant complete_deadline_;
   Instant join_deadline_;
--- a/include/acaciahold/Node/group_shell.h
+++ b/include/acaciahold/Node/group_shell.h
@@ -72,6 +72,9 @@
 
   // Keeps soft state that makes the next start faster.
   void StoreNotes(std::string_view notes);
+  // Keeps how far the log is committed, for the same end. To be called now and
+  // then; does nothing where nothing was committed since.
+  void StoreCommitHint();
 
   bool is_leader() const {
     return !has_failed_ && replica_.role == consensus::Role::kLeader;
@@ -121,6 +124,7 @@
   consensus::Joiners joiners_;
   bool has_failed_ = false;
   Instant retry_deadline_;
+  consensus::Index synced_hint_ = 0;
   std::map<consensus::Index, Waiter> waiters_;
   std::list<Reader> readers_;
   // As on_members last told.
--- a/include/acaciahold/Storage/data_folder.h
+++ b/include/acaciahold/Storage/data_folder.h
@@ -1,8 +1,8 @@
 // The durable state of a control host: one folder, used by one process.
 //
 // Files: `lock`; `identity`, written once; `hard-state` and `snapshot`, each
-// replaced as a whole; `log`, appended to; `commit`, a hint that may be missing
-// or torn; `notes`, which the owner may do without. Every other file begins with a format
+// replaced as a whole; `log`, appended to; `commit`, a hint that may be old
+// or torn; `notes`, which the owner may do without. Every file begins with a format
 // version, and every record carries its length and a checksum. A record is
 // safe only once it is synced; a torn record at the end of the log is cut off
 // on opening, and damage anywhere else is refused.
@@ -68,6 +68,9 @@
   // Fails with SystemError.
   Result<void> Write(const consensus::Persist& persist);
 
+  // Makes the last commit hint durable. Fails with SystemError.
+  Result<void> SyncCommitHint();
+
   // Replaces the owner's notes, and syncs them. Fails with SystemError; the
   // folder may be used on.
   Result<void> WriteNotes(std::string_view notes);
--- a/lib/Node/control_node.cc
+++ b/lib/Node/control_node.cc
@@ -6,6 +6,7 @@
 #include <set>
 #include <utility>
 
+#include <boost/asio/post.hpp>
 #include <boost/json.hpp>
 
 #include "acaciahold/Json/decode.h"
@@ -95,6 +96,7 @@
   }
   CheckSilence(now);
   AskToJoin(now);
+  group_->StoreCommitHint();
   if (std::exchange(has_unstored_news_, false)) {
     group_->StoreNotes(Encode(WholeDirectory(now)));
   }
@@ -458,7 +460,19 @@
             {"version", state_.view.catalog.version},
             {"listeners", state_.view.catalog.listeners.size()},
             {"domains_out", state_.view.domains_out.size()}});
-  SendToEntryHosts(state_.view);
+  SpreadView();
+}
+
+// Tells entry hosts of the newest view, once for all commands that are applied
+// together.
+void ControlNode::SpreadView() {
+  if (std::exchange(is_view_due_, true)) {
+    return;
+  }
+  asio::post(io_, [this] {
+    is_view_due_ = false;
+    SendToEntryHosts(state_.view);
+  });
 }
 
 void ControlNode::Restore(std::string_view data) {
@@ -475,7 +489,7 @@
     return;
   }
   state_ = std::move(*state);
-  SendToEntryHosts(state_.view);
+  SpreadView();
 }
 
 }  // namespace acaciahold::node
--- a/lib/Node/group_shell.cc
+++ b/lib/Node/group_shell.cc
@@ -54,6 +54,17 @@
       settings.data_folder, RandomReplicaId(), RandomNumber(), {});
 }
 
+// Runs a write that the host can do without.
+void LogIfFailed(std::string_view event,
+                 const std::function<Result<void>()>& write) {
+  leaf::try_handle_all(
+      write,
+      [&](const SystemError& e) {
+        LogEvent(Weight::kNotable, event, {{"reason", Describe(e)}});
+      },
+      [&] { LogEvent(Weight::kNotable, event, {{"reason", "unknown"}}); });
+}
+
 }  // namespace
 
 GroupShell::GroupShell(asio::io_context& io,
@@ -215,17 +226,17 @@
 }
 
 void GroupShell::StoreNotes(std::string_view notes) {
-  if (has_failed_) {
-    return;
+  if (!has_failed_) {
+    LogIfFailed("notes_not_stored", [&] { return folder_->WriteNotes(notes); });
+  }
+}
+
+void GroupShell::StoreCommitHint() {
+  if (!has_failed_ && synced_hint_ < replica_.commit) {
+    synced_hint_ = replica_.commit;
+    LogIfFailed("commit_hint_not_stored",
+                [&] { return folder_->SyncCommitHint(); });
   }
-  leaf::try_handle_all([&] { return folder_->WriteNotes(notes); },
-                       [](const SystemError& e) {
-                         LogEvent(Weight::kNotable, "notes_not_stored",
-                                  {{"reason", Describe(e)}});
-                       },
-                       [] {
-                         LogEvent(Weight::kNotable, "notes_not_stored", {});
-                       });
 }
 
 void GroupShell::Apply(const consensus::LogEntry& entry) {
--- a/lib/Storage/data_folder.cc
+++ b/lib/Storage/data_folder.cc
@@ -2,6 +2,7 @@
 
 #include "acaciahold/Storage/data_folder.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <charconv>
 #include <cstring>
@@ -217,7 +218,9 @@
   if (!bytes) {
     return 0;
   }
-  auto scan = ScanRecords(*bytes);
+  std::string_view content = *bytes;
+  auto scan = ScanRecords(
+      content.substr(std::min(content.size(), kFileHeader.size())));
   consensus::Index index = 0;
   if (!scan.payloads.empty()) {
     auto text = scan.payloads.front();
@@ -267,8 +270,8 @@
       ReplaceFile(path, "hard-state", Encode(ToJson(consensus::HardState()))));
   BOOST_LEAF_CHECK(ReplaceFile(path, "log", ""));
   // Of an earlier replica whose folder was emptied in part.
+  BOOST_LEAF_CHECK(ReplaceFile(path, "commit", ""));
   std::error_code ec;
-  std::filesystem::remove(path + "/commit", ec);
   std::filesystem::remove(path + "/notes", ec);
   json::value identity{{"replica_id", replica_id}, {"instance", instance}};
   return ReplaceFile(path, "identity", Encode(identity));
@@ -331,13 +334,18 @@
 
 Result<void> DataFolder::WriteCommitHint(consensus::Index index) {
   std::string record = EncodeRecord(std::to_string(index));
-  if (::pwrite(commit_.get(), record.data(), record.size(), 0) !=
+  if (::pwrite(commit_.get(), record.data(), record.size(),
+               kFileHeader.size()) !=
       static_cast<ssize_t>(record.size())) {
     return leaf::new_error(LastError("write " + path_ + "/commit"));
   }
   return {};
 }
 
+Result<void> DataFolder::SyncCommitHint() {
+  return Sync(commit_.get(), path_ + "/commit");
+}
+
 Result<void> DataFolder::WriteNotes(std::string_view notes) {
   return ReplaceFile(path_, "notes", EncodeRecord(notes));
 }
