Let cut-off entry hosts prefer what they reach, and leave where nothing is

Ruled out: waiting for the control hosts' silence, which takes 4 s. Change: a host that hears from no majority of control hosts for 1 s prefers its own domain; it is not ready where more than a fifth of its requests need others. A domain with 4 openings in a row unanswered is avoided. Links find silence in 1.5 s, and reconnect after 40 ms, doubled up to 400 ms.

--- a/include/acaciahold/Link/link.h
+++ b/include/acaciahold/Link/link.h
@@ -18,11 +18,13 @@
 
 namespace acaciahold::link {
 
-// A lost session is opened again after so long: hosts restart within a second.
-inline constexpr std::chrono::milliseconds kReconnectDelay{100};
-// Many round trips within a region. A host without power does not answer, and
-// the next attempt finds it started.
-inline constexpr std::chrono::milliseconds kConnectTimeout{300};
+// A lost session is opened again after so long, since hosts restart within a
+// second; doubled with each failure up to the maximum.
+inline constexpr std::chrono::milliseconds kReconnectDelayMin{40};
+inline constexpr std::chrono::milliseconds kReconnectDelayMax{400};
+// Some round trips, also between regions. A host without power does not answer,
+// and the next attempt finds it started.
+inline constexpr std::chrono::milliseconds kConnectTimeout{120};
 
 class Connector : public std::enable_shared_from_this<Connector> {
  public:
@@ -43,6 +45,8 @@
 
   Endpoint to() const { return to_; }
   bool is_open() const { return session_ != nullptr; }
+  // Whether anything was received on the open session within `time`.
+  bool IsHeard(std::chrono::milliseconds time) const;
 
  private:
   Connector(boost::asio::io_context& io, Endpoint to);
@@ -56,6 +60,7 @@
   Handlers handlers_;
   boost::asio::steady_timer timer_;
   std::shared_ptr<Session> session_;  // Null while not connected.
+  std::chrono::milliseconds reconnect_delay_ = kReconnectDelayMin;
   bool is_stopped_ = false;
 };
 
--- a/include/acaciahold/Link/session.h
+++ b/include/acaciahold/Link/session.h
@@ -19,10 +19,10 @@
 
 namespace acaciahold::link {
 
-// A keep-alive is due after so long; a third of what a peer waits.
-inline constexpr std::chrono::milliseconds kKeepAliveInterval{700};
+// A keep-alive is due after so long; a fifth of what a peer waits.
+inline constexpr std::chrono::milliseconds kKeepAliveInterval{300};
 // Nothing received for so long, a connection is given up.
-inline constexpr std::chrono::milliseconds kSilenceTimeout{2'100};
+inline constexpr std::chrono::milliseconds kSilenceTimeout{1'500};
 // A snapshot of the largest deployment fits in.
 inline constexpr size_t kMaxMessageBytes = 16U << 20U;
 // A peer that does not read is cut off beyond this.
@@ -45,6 +45,9 @@
 
   void Close();
 
+  // When anything was received last.
+  std::chrono::steady_clock::time_point heard_at() const { return heard_at_; }
+
  private:
   explicit Session(boost::asio::ip::tcp::socket socket);
 
@@ -64,7 +67,7 @@
   bool is_writing_ = false;
   bool is_closed_ = false;
   bool has_sent_ = false;  // Since the last look.
-  std::chrono::steady_clock::time_point silence_deadline_;
+  std::chrono::steady_clock::time_point heard_at_;
 };
 
 }  // namespace acaciahold::link
--- a/include/acaciahold/Node/entry_node.h
+++ b/include/acaciahold/Node/entry_node.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <map>
 #include <memory>
+#include <set>
 #include <string_view>
 #include <vector>
 
@@ -25,6 +26,12 @@
 inline constexpr Duration kFeedTimeout = std::chrono::seconds(3);
 // How often openings are judged; a part of steering::kOpenTimeout.
 inline constexpr std::chrono::milliseconds kEntryTick{100};
+// Nothing heard for so long, a control host may be out of reach; some times
+// link::kKeepAliveInterval.
+inline constexpr std::chrono::milliseconds kQuietTime{1'000};
+// A host that is cut off with more than this part of its requests to services
+// without an upstream in reach leaves its callers to other failure domains.
+inline constexpr double kMaxRemotePart = 0.2;
 inline constexpr Duration kForgetInterval = std::chrono::seconds(5);
 
 class EntryNode {
@@ -66,6 +73,9 @@
   void UpdateFeeds();
   void Tick();
   void DropLostFeeds(Instant now);
+  bool IsCutOff() const;
+  void CheckReach(Instant now);
+  std::set<Endpoint> KnownHosts() const;
 
   boost::asio::io_context& io_;
   NodeSettings settings_;
@@ -76,6 +86,7 @@
   Instant forget_deadline_;
   bool is_complete_ = false;  // A feed has told all that it knows.
   bool is_leaving_ = false;
+  bool is_out_of_reach_ = false;  // Cut off from what its callers need.
 };
 
 }  // namespace acaciahold::node
--- a/include/acaciahold/Steering/tag_steering.h
+++ b/include/acaciahold/Steering/tag_steering.h
@@ -83,13 +83,22 @@
 inline constexpr Duration kAvoidTimeMin = std::chrono::milliseconds(500);
 inline constexpr Duration kAvoidTimeMax = std::chrono::seconds(4);
 
+// Openings in a row without an answer, over all upstreams of a failure domain,
+// before the domain is avoided: a partition leaves all of them unanswered.
+inline constexpr uint32_t kMaxUnansweredInDomain = 4;
+
+// How openings went that were sent to one upstream, or to one failure domain.
+struct Reachability {
+  uint32_t unanswered = 0;  // Openings in a row.
+  Duration avoid_time = kAvoidTimeMin;
+  Instant avoid_deadline;  // Not chosen before it unless there is no other.
+};
+
 struct TagUpstream {
   directory::UpstreamId id = 0;
   Tag tag = 0;
   PlacementCandidate candidate;
-  uint32_t unanswered = 0;  // Openings in a row.
-  Duration avoid_time = kAvoidTimeMin;
-  Instant avoid_deadline;   // Not chosen before it unless there is no other.
+  Reachability reachability;
   uint32_t silent_feeds = 0;  // Bit i: feed i has not heard of it.
 };
 
@@ -113,6 +122,10 @@
   catalog::View view;
   directory::Directory directory;
   FeedMask open_feeds = 0;
+  // Whether most control hosts are out of reach: other failure domains'
+  // upstreams are likely to be as well.
+  bool is_cut_off = false;
+  std::map<std::string, Reachability> domains;
   // Invariant: one for each entry of `directory`.
   std::map<directory::UpstreamId, TagUpstream> upstreams;
   std::unordered_map<Tag, TagUpstream*> by_tag;
@@ -158,6 +171,10 @@
                      uint32_t requests,
                      Instant now);
 
+// The part of recent requests, from 0 to 1, whose services have no upstream in
+// the host's own failure domain that may take new flows.
+double RemotePart(const TagSteering& steering, Instant now);
+
 // Judges openings that have had their time. To be called now and then.
 void OnTick(TagSteering& steering, Instant now);
 
--- a/lib/Link/link.cc
+++ b/lib/Link/link.cc
@@ -2,6 +2,8 @@
 
 #include "acaciahold/Link/link.h"
 
+#include <algorithm>
+
 #include <boost/asio/post.hpp>
 
 namespace acaciahold::link {
@@ -46,6 +48,11 @@
   return true;
 }
 
+bool Connector::IsHeard(std::chrono::milliseconds time) const {
+  return session_ &&
+         std::chrono::steady_clock::now() < session_->heard_at() + time;
+}
+
 void Connector::Connect() {
   auto socket = std::make_shared<tcp::socket>(io_);
   timer_.expires_after(kConnectTimeout);
@@ -70,6 +77,7 @@
 }
 
 void Connector::OnConnected(tcp::socket socket) {
+  reconnect_delay_ = kReconnectDelayMin;
   auto session = Session::Create(std::move(socket));
   session_ = session;
   session->Start({[self = shared_from_this()](std::string_view message) {
@@ -86,7 +94,8 @@
 }
 
 void Connector::ConnectLater() {
-  timer_.expires_after(kReconnectDelay);
+  timer_.expires_after(reconnect_delay_);
+  reconnect_delay_ = std::min(reconnect_delay_ * 2, kReconnectDelayMax);
   timer_.async_wait([self = shared_from_this()](error_code ec) {
     if (!ec && !self->is_stopped_) {
       self->Connect();
@@ -114,7 +123,7 @@
     }
     if (ec) {
       // Out of descriptors, most likely: waits rather than spins.
-      self->timer_.expires_after(kReconnectDelay);
+      self->timer_.expires_after(kReconnectDelayMax);
       self->timer_.async_wait([self](error_code) { self->Accept(); });
       return;
     }
--- a/lib/Link/session.cc
+++ b/lib/Link/session.cc
@@ -39,7 +39,7 @@
 
 void Session::Start(Handlers handlers) {
   handlers_ = std::move(handlers);
-  silence_deadline_ = std::chrono::steady_clock::now() + kSilenceTimeout;
+  heard_at_ = std::chrono::steady_clock::now();
   ReadHead();
   CheckLiveness();
 }
@@ -52,8 +52,7 @@
           self->Close();
           return;
         }
-        self->silence_deadline_ =
-            std::chrono::steady_clock::now() + kSilenceTimeout;
+        self->heard_at_ = std::chrono::steady_clock::now();
         uint32_t n = 0;
         for (auto byte : self->head_) {
           n = (n << 8U) | byte;
@@ -76,8 +75,7 @@
                        self->Close();
                        return;
                      }
-                     self->silence_deadline_ =
-                         std::chrono::steady_clock::now() + kSilenceTimeout;
+                     self->heard_at_ = std::chrono::steady_clock::now();
                      self->handlers_.on_message(self->body_);
                      if (self->is_closed_) {
                        return;
@@ -136,7 +134,7 @@
     if (ec || self->is_closed_) {
       return;
     }
-    if (std::chrono::steady_clock::now() > self->silence_deadline_) {
+    if (std::chrono::steady_clock::now() > self->heard_at_ + kSilenceTimeout) {
       self->Close();
       return;
     }
--- a/lib/Node/entry_node.cc
+++ b/lib/Node/entry_node.cc
@@ -41,7 +41,8 @@
 }
 
 bool EntryNode::is_ready() const {
-  return is_complete_ && !is_leaving_ && steering_.view.catalog.version > 0;
+  return is_complete_ && !is_leaving_ && !is_out_of_reach_ &&
+         steering_.view.catalog.version > 0;
 }
 
 bool EntryNode::has_feed() const {
@@ -53,6 +54,7 @@
   Instant now = ReadClock();
   steering::OnTick(steering_, now);
   DropLostFeeds(now);
+  CheckReach(now);
   if (now >= forget_deadline_) {
     forget_deadline_ = now + kForgetInterval;
     steering::ForgetUpstreams(steering_, now);
@@ -65,6 +67,32 @@
   });
 }
 
+bool EntryNode::IsCutOff() const {
+  auto heard = std::count_if(
+      feeds_.begin(), feeds_.end(), [](const Feed& feed) {
+        return feed.is_connected && feed.connector->IsHeard(kQuietTime);
+      });
+  return heard * 2 <= std::ssize(KnownHosts());
+}
+
+void EntryNode::CheckReach(Instant now) {
+  bool is_cut_off = is_complete_ && IsCutOff();
+  if (is_cut_off != steering_.is_cut_off) {
+    steering_.is_cut_off = is_cut_off;
+    LogEvent(Weight::kNotable, "reach_changed", {{"is_cut_off", is_cut_off}});
+  }
+  double remote_part =
+      is_cut_off ? steering::RemotePart(steering_, now) : 0.0;
+  bool is_out_of_reach =
+      is_cut_off && (is_out_of_reach_ || remote_part > kMaxRemotePart);
+  if (is_out_of_reach != is_out_of_reach_) {
+    is_out_of_reach_ = is_out_of_reach;
+    LogEvent(Weight::kNotable, "readiness_changed",
+             {{"is_out_of_reach", is_out_of_reach},
+              {"remote_part", remote_part}});
+  }
+}
+
 void EntryNode::DropLostFeeds(Instant now) {
   for (uint32_t i = 0; i < kMaxFeeds; ++i) {
     auto& feed = feeds_[i];
@@ -164,15 +192,20 @@
   }
 }
 
-// Follows the hosts that connected feeds tell of; the seeds where none does.
-void EntryNode::UpdateFeeds() {
-  std::set<Endpoint> wanted;
+// The hosts that feeds tell of; the seeds where none does.
+std::set<Endpoint> EntryNode::KnownHosts() const {
+  std::set<Endpoint> hosts;
   for (const auto& feed : feeds_) {
-    wanted.insert(feed.hosts.begin(), feed.hosts.end());
+    hosts.insert(feed.hosts.begin(), feed.hosts.end());
   }
-  if (wanted.empty()) {
-    wanted.insert(seeds_.begin(), seeds_.end());
+  if (hosts.empty()) {
+    hosts.insert(seeds_.begin(), seeds_.end());
   }
+  return hosts;
+}
+
+void EntryNode::UpdateFeeds() {
+  auto wanted = KnownHosts();
   for (auto& feed : feeds_) {
     bool is_over = feed.connector && !feed.is_connected &&
                    feed.lost_deadline == Instant() &&
--- a/lib/Steering/tag_steering.cc
+++ b/lib/Steering/tag_steering.cc
@@ -3,6 +3,7 @@
 #include "acaciahold/Steering/tag_steering.h"
 
 #include <algorithm>
+#include <set>
 
 #include "acaciahold/Support/check.h"
 #include "acaciahold/Support/hash.h"
@@ -55,8 +56,13 @@
       steering.view.domains_out.contains(record.failure_domain)) {
     return Rank::kNever;
   }
+  auto domain = steering.domains.find(record.failure_domain);
+  bool is_avoided = now < upstream.reachability.avoid_deadline ||
+                    (domain != steering.domains.end() &&
+                     now < domain->second.avoid_deadline);
+  bool is_out_of_reach = steering.is_cut_off && !upstream.candidate.is_local;
   bool is_doubtful =
-      IsSilent(steering, upstream) || now < upstream.avoid_deadline;
+      is_avoided || is_out_of_reach || IsSilent(steering, upstream);
   return is_doubtful ? Rank::kDoubtful : Rank::kGood;
 }
 
@@ -115,19 +121,29 @@
           upstream.tag};
 }
 
-void OnAnswered(TagUpstream& upstream) {
-  upstream.unanswered = 0;
-  upstream.avoid_time = kAvoidTimeMin;
-  upstream.avoid_deadline = Instant();
-}
-
-void OnUnanswered(TagUpstream& upstream, Instant now) {
-  ++upstream.unanswered;
-  if (upstream.unanswered < kMaxUnanswered || now < upstream.avoid_deadline) {
+void CountUnanswered(Reachability& reachability, uint32_t most, Instant now) {
+  ++reachability.unanswered;
+  if (reachability.unanswered < most || now < reachability.avoid_deadline) {
     return;
   }
-  upstream.avoid_deadline = now + upstream.avoid_time;
-  upstream.avoid_time = std::min(upstream.avoid_time * 2, kAvoidTimeMax);
+  reachability.avoid_deadline = now + reachability.avoid_time;
+  reachability.avoid_time =
+      std::min(reachability.avoid_time * 2, kAvoidTimeMax);
+}
+
+Reachability& DomainOf(TagSteering& steering, const TagUpstream& upstream) {
+  const auto& record = steering.directory.entries.at(upstream.id).record;
+  return steering.domains[record.failure_domain];
+}
+
+void OnAnswered(TagSteering& steering, TagUpstream& upstream) {
+  upstream.reachability = {};
+  DomainOf(steering, upstream) = {};
+}
+
+void OnUnanswered(TagSteering& steering, TagUpstream& upstream, Instant now) {
+  CountUnanswered(upstream.reachability, kMaxUnanswered, now);
+  CountUnanswered(DomainOf(steering, upstream), kMaxUnansweredInDomain, now);
 }
 
 TagUpstream* FindTag(TagSteering& steering, Tag tag) {
@@ -192,7 +208,7 @@
   JoinRotation(upstream.candidate, steering.scratch_candidates,
                jitter(steering.random));
   upstream.candidate.load = {};
-  OnAnswered(upstream);
+  upstream.reachability = {};
 }
 
 }  // namespace
@@ -311,7 +327,7 @@
     return Forward(steering, *first, TagReason::kCopy);
   }
   if (first) {
-    OnUnanswered(*first, now);
+    OnUnanswered(steering, *first, now);
   }
   auto decision = Place(steering, ServiceOf(*it->second, hash),
                         first ? first->tag : 0, now);
@@ -337,7 +353,7 @@
   auto& recent = steering.recent[SlotOf(hash)];
   if (recent.flow_hash == hash && !recent.is_answered) {
     recent.is_answered = true;
-    OnAnswered(*upstream);
+    OnAnswered(steering, *upstream);
   }
   if (requests > 0) {
     CountLoad(upstream->candidate.load, requests, now);
@@ -345,6 +361,28 @@
   return Forward(steering, *upstream, TagReason::kByTag);
 }
 
+double RemotePart(const TagSteering& steering, Instant now) {
+  std::map<std::string_view, double> load;
+  std::set<std::string_view> local;
+  double total = 0;
+  for (const auto& [id, entry] : steering.directory.entries) {
+    const auto& upstream = steering.upstreams.at(id);
+    double requests = LoadAt(upstream.candidate.load, now);
+    load[entry.record.service] += requests;
+    total += requests;
+    bool takes_flows = RankOf(steering, upstream, entry.record, now) ==
+                       Rank::kGood;
+    if (upstream.candidate.is_local && takes_flows) {
+      local.insert(entry.record.service);
+    }
+  }
+  double remote = 0;
+  for (const auto& [service, requests] : load) {
+    remote += local.contains(service) ? 0 : requests;
+  }
+  return total > 0 ? remote / total : 0;
+}
+
 void OnTick(TagSteering& steering, Instant now) {
   while (!steering.awaiting.empty()) {
     auto& recent = steering.recent[steering.awaiting.front()];
@@ -354,7 +392,7 @@
     steering.awaiting.pop_front();
     auto* upstream = FindTag(steering, recent.tag);
     if (!recent.is_answered && upstream) {
-      OnUnanswered(*upstream, now);
+      OnUnanswered(steering, *upstream, now);
     }
     recent.is_answered = true;
   }
