--- a/lib/Consensus/replica.cc
+++ b/lib/Consensus/replica.cc
@@ -488,6 +488,23 @@
   }
 }
 
+// Puts the snapshot before the log. Entries that follow it are kept where the
+// log leads up to it: others may count on them being stored here.
+void InstallSnapshot(Replica& replica,
+                     const Snapshot& snapshot,
+                     Output& output) {
+  if (TermAt(replica, snapshot.index) == snapshot.term) {
+    while (!replica.entries.empty() &&
+           replica.entries.front().index <= snapshot.index) {
+      replica.entries.pop_front();
+    }
+  } else {
+    replica.entries.clear();
+    output.persist.truncate_from = snapshot.index + 1;
+  }
+  replica.snapshot = snapshot;
+}
+
 void OnSnapshot(Replica& replica,
                 const Message& message,
                 Instant now,
@@ -500,8 +517,7 @@
     output.messages.push_back(std::move(reply));
     return;
   }
-  replica.snapshot = message.snapshot;
-  replica.entries.clear();
+  InstallSnapshot(replica, message.snapshot, output);
   replica.commit = replica.snapshot.index;
   replica.applied = replica.snapshot.index;
   FindMembers(replica);
--- a/lib/Storage/data_folder.cc
+++ b/lib/Storage/data_folder.cc
@@ -351,9 +351,6 @@
 }
 
 Result<void> DataFolder::Write(const consensus::Persist& persist) {
-  if (persist.commit_hint) {
-    BOOST_LEAF_CHECK(WriteCommitHint(*persist.commit_hint));
-  }
   if (persist.hard_state) {
     BOOST_LEAF_CHECK(
         ReplaceFile(path_, "hard-state", Encode(ToJson(*persist.hard_state))));
@@ -368,10 +365,13 @@
   }
   entries_.insert(entries_.end(), persist.append.begin(), persist.append.end());
   if (persist.snapshot) {
-    return RewriteLog();
+    BOOST_LEAF_CHECK(RewriteLog());
+  } else if (!persist.append.empty() || persist.truncate_from) {
+    BOOST_LEAF_CHECK(AppendRecord(json::serialize(LogRecord(persist))));
   }
-  if (!persist.append.empty() || persist.truncate_from) {
-    return AppendRecord(json::serialize(LogRecord(persist)));
+  // Last, since it speaks of entries in the log.
+  if (persist.commit_hint) {
+    return WriteCommitHint(*persist.commit_hint);
   }
   return {};
 }
--- /dev/null
+++ b/unittests/Catalog/catalog_test.cc
@@ -0,0 +1,97 @@
+// Rules of the catalog, and the state that commands build.
+
+#include "acaciahold/Catalog/catalog.h"
+
+#include <boost/json.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace acaciahold::catalog {
+namespace {
+
+Catalog MakeCatalog(uint64_t version) {
+  Catalog catalog;
+  catalog.version = version;
+  catalog.services = {{"orders", 0}, {"returns", 4.5}};
+  catalog.listeners = {{"a", {1, 80}, {{"orders", 9}, {"returns", 1}}},
+                       {"b", {1, 81}, {{"returns", 1}}}};
+  catalog.idle_timeout_ms = 15'000;
+  return catalog;
+}
+
+Command Replace(uint64_t version) {
+  return {CommandKind::kReplace, MakeCatalog(version),
+          "document " + std::to_string(version), ""};
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(AGoodCatalogHasNoFaults) {
+  BOOST_TEST(Validate(MakeCatalog(1)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(EachRuleIsChecked) {
+  auto unknown = MakeCatalog(1);
+  unknown.listeners[1].targets[0].service = "nowhere";
+  BOOST_REQUIRE(Validate(unknown).size() == 1U);
+  BOOST_TEST(Validate(unknown)[0].field == "listeners.b.targets");
+  BOOST_TEST(Validate(unknown)[0].value == "nowhere");
+  auto twice = MakeCatalog(1);
+  twice.listeners[1].endpoint = twice.listeners[0].endpoint;
+  BOOST_TEST(Validate(twice).size() == 1U);
+  auto weightless = MakeCatalog(1);
+  weightless.listeners[1].targets[0].weight = 0;
+  BOOST_TEST(Validate(weightless).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(TheHighestVersionHolds) {
+  State state;
+  Apply(state, Replace(7), 1);
+  Apply(state, Replace(5), 2);
+  BOOST_TEST(state.view.catalog.version == 7U);
+  BOOST_TEST(state.view.revision == 1U);
+  Apply(state, Replace(9), 3);
+  BOOST_TEST(state.view.catalog.version == 9U);
+  BOOST_TEST(state.source == "document 9");
+  BOOST_TEST(state.view.revision == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(OtherContentUnderAHeldVersionChangesNothing) {
+  State state;
+  Apply(state, Replace(7), 1);
+  auto other = Replace(7);
+  other.catalog.listeners.clear();
+  other.source = "other";
+  Apply(state, other, 2);
+  BOOST_TEST(state.view.catalog.listeners.size() == 2U);
+  BOOST_TEST(state.source == "document 7");
+}
+
+BOOST_AUTO_TEST_CASE(DomainsGoOutAndComeBack) {
+  State state;
+  Apply(state, {CommandKind::kTakeDomainOut, {}, "", "north"}, 4);
+  Apply(state, {CommandKind::kTakeDomainOut, {}, "", "north"}, 5);
+  BOOST_TEST(state.view.revision == 4U);
+  BOOST_TEST(state.view.domains_out.contains("north"));
+  Apply(state, {CommandKind::kTakeDomainBack, {}, "", "north"}, 6);
+  BOOST_TEST(state.view.domains_out.empty());
+  BOOST_TEST(state.view.revision == 6U);
+}
+
+BOOST_AUTO_TEST_CASE(JsonFormsKeepEverything) {
+  State state;
+  Apply(state, Replace(7), 3);
+  Apply(state, {CommandKind::kTakeDomainOut, {}, "", "north"}, 4);
+  auto back = StateFromJson(ToJson(state));
+  BOOST_REQUIRE(back.has_value());
+  BOOST_CHECK(back->view.catalog == state.view.catalog);
+  BOOST_CHECK(back->view.domains_out == state.view.domains_out);
+  BOOST_TEST(back->view.revision == 4U);
+  BOOST_TEST(back->source == state.source);
+  auto command = CommandFromJson(ToJson(Replace(3)));
+  BOOST_REQUIRE(command.has_value());
+  BOOST_CHECK(command->catalog == MakeCatalog(3));
+  BOOST_CHECK(!CommandFromJson(boost::json::parse("{\"kind\":9}")));
+  BOOST_CHECK(!StateFromJson(boost::json::parse("[]")));
+}
+
+}  // namespace acaciahold::catalog
--- /dev/null
+++ b/unittests/Directory/directory_test.cc
@@ -0,0 +1,136 @@
+// Ordering of upstream records, silence and leaving.
+
+#include "acaciahold/Directory/directory.h"
+
+#include <boost/json.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace acaciahold::directory {
+namespace {
+
+using std::chrono::milliseconds;
+
+const Instant kStart = FromUnixMillis(1'000'000);
+
+Record MakeRecord(UpstreamId id, int64_t born_ms, uint64_t sequence) {
+  Record record;
+  record.id = id;
+  record.service = "orders";
+  record.endpoint = {10, 8080};
+  record.failure_domain = "north";
+  record.slots = 2;
+  record.born_ms = born_ms;
+  record.sequence = sequence;
+  return record;
+}
+
+Record Draining(Record record) {
+  record.phase = Phase::kDraining;
+  return record;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(OnlyNewerRecordsCount) {
+  Directory directory;
+  BOOST_CHECK(Merge(directory, MakeRecord(1, 5, 2), kStart) ==
+              Change::kChanged);
+  BOOST_CHECK(Merge(directory, MakeRecord(1, 5, 3), kStart) ==
+              Change::kRefreshed);
+  BOOST_CHECK(Merge(directory, Draining(MakeRecord(1, 5, 2)), kStart) ==
+              Change::kStale);
+  BOOST_CHECK(Merge(directory, Draining(MakeRecord(1, 5, 4)), kStart) ==
+              Change::kChanged);
+}
+
+BOOST_AUTO_TEST_CASE(ANewStartUnderTheSameIdCountsFromAnew) {
+  Directory directory;
+  Merge(directory, Draining(MakeRecord(1, 5, 90)), kStart);
+  BOOST_CHECK(Merge(directory, MakeRecord(1, 6, 1), kStart) ==
+              Change::kChanged);
+  BOOST_CHECK(directory.entries.at(1).record.phase == Phase::kServing);
+  BOOST_CHECK(Merge(directory, MakeRecord(1, 5, 91), kStart) ==
+              Change::kStale);
+}
+
+BOOST_AUTO_TEST_CASE(WhatHasLeftComesBackOnlyWithANewStart) {
+  Directory directory;
+  Merge(directory, MakeRecord(1, 5, 3), kStart);
+  BOOST_CHECK(Remove(directory, 1, 0, kStart) == Change::kChanged);
+  BOOST_CHECK(Remove(directory, 1, 0, kStart) == Change::kStale);
+  BOOST_CHECK(Merge(directory, MakeRecord(1, 5, 9), kStart) ==
+              Change::kStale);
+  BOOST_CHECK(Merge(directory, MakeRecord(1, 6, 1), kStart) ==
+              Change::kChanged);
+}
+
+BOOST_AUTO_TEST_CASE(LeavingCountsWhereLaterAnnouncementsWereHeard) {
+  // Another host took the word of leaving, and had heard less before.
+  Directory elsewhere;
+  Merge(elsewhere, MakeRecord(1, 5, 3), kStart);
+  Remove(elsewhere, 1, 0, kStart);
+  Directory directory;
+  Merge(directory, MakeRecord(1, 5, 8), kStart);
+  BOOST_CHECK(Merge(directory, elsewhere.entries.at(1).record, kStart) ==
+              Change::kChanged);
+  BOOST_CHECK(directory.entries.at(1).record.phase == Phase::kGone);
+}
+
+BOOST_AUTO_TEST_CASE(AWordOfLeavingForAnOlderStartIsStale) {
+  Directory directory;
+  Merge(directory, MakeRecord(1, 6, 1), kStart);
+  BOOST_CHECK(Remove(directory, 1, 5, kStart) == Change::kStale);
+  BOOST_CHECK(directory.entries.at(1).record.phase == Phase::kServing);
+}
+
+BOOST_AUTO_TEST_CASE(SilenceComesAndGoes) {
+  Directory directory;
+  auto timeout = SilenceTimeout(milliseconds(1'000));
+  Merge(directory, MakeRecord(1, 5, 1), kStart);
+  BOOST_TEST(CheckSilence(directory, timeout, kStart + timeout / 2).empty());
+  auto later = kStart + timeout;
+  BOOST_TEST(CheckSilence(directory, timeout, later).size() == 1U);
+  BOOST_TEST(CheckSilence(directory, timeout, later).empty());
+  BOOST_CHECK(Refresh(directory, 1, 2, later) == Change::kChanged);
+  BOOST_CHECK(Refresh(directory, 1, 3, later) == Change::kRefreshed);
+  BOOST_CHECK(Refresh(directory, 2, 3, later) == Change::kStale);
+}
+
+BOOST_AUTO_TEST_CASE(WhatIsHeardIsNeverForgotten) {
+  Directory directory;
+  Merge(directory, MakeRecord(1, 5, 1), kStart);
+  Merge(directory, MakeRecord(2, 5, 1), kStart);
+  Remove(directory, 2, 0, kStart);
+  BOOST_TEST(ForgetOld(directory, kStart + kForgetTimeout / 2).empty());
+  auto forgotten = ForgetOld(directory, kStart + kForgetTimeout);
+  BOOST_REQUIRE(forgotten.size() == 1U);
+  BOOST_TEST(forgotten[0] == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(ColdTimeRunsDownOnTheWay) {
+  Directory directory;
+  auto record = MakeRecord(1, 5, 1);
+  record.cold_ms = 2'000;
+  Merge(directory, record, kStart);
+  auto later = CurrentRecord(directory.entries.at(1),
+                             kStart + milliseconds(1'500));
+  BOOST_TEST(later.cold_ms == 500U);
+  auto warm = CurrentRecord(directory.entries.at(1),
+                            kStart + milliseconds(2'500));
+  BOOST_TEST(warm.cold_ms == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(JsonFormKeepsEverything) {
+  auto record = Draining(MakeRecord(0xfedcba9876543210ULL, 5, 1));
+  record.cold_ms = 7;
+  auto back = RecordFromJson(ToJson(record));
+  BOOST_REQUIRE(back.has_value());
+  BOOST_TEST(back->id == record.id);
+  BOOST_TEST(back->service == record.service);
+  BOOST_CHECK(back->endpoint == record.endpoint);
+  BOOST_CHECK(back->phase == record.phase);
+  BOOST_TEST(back->cold_ms == 7U);
+  BOOST_CHECK(!RecordFromJson(boost::json::parse("{\"id\":1}")));
+}
+
+}  // namespace acaciahold::directory
--- /dev/null
+++ b/unittests/Node/messages_test.cc
@@ -0,0 +1,121 @@
+// Messages between hosts, and settings of hosts that find their group.
+
+#include "acaciahold/Node/messages.h"
+
+#include <filesystem>
+#include <fstream>
+
+#include <boost/test/unit_test.hpp>
+
+#include "acaciahold/Node/node_settings.h"
+
+namespace acaciahold::node {
+namespace {
+
+template <typename T>
+T RoundTrip(const T& message) {
+  auto decoded = DecodeMessage(Encode(message));
+  BOOST_REQUIRE(decoded.has_value());
+  BOOST_REQUIRE(std::holds_alternative<T>(*decoded));
+  return std::get<T>(*decoded);
+}
+
+std::string WriteSettings(const std::string& text) {
+  auto path = std::filesystem::temp_directory_path() /
+              ("acaciahold-node-settings-" + std::to_string(::getpid()));
+  std::ofstream(path) << text;
+  return path;
+}
+
+constexpr const char* kControl =
+    "node:\n"
+    "  name: c1\n"
+    "  role: control\n"
+    "  failure_domain: north\n"
+    "  address: 10.0.0.1\n"
+    "  link_port: 7000\n"
+    "  seeds:\n"
+    "    - 10.0.0.1:8000\n"
+    "    - 10.0.0.2:8000\n"
+    "  admin: 10.0.0.1:8000\n"
+    "  data_folder: /data\n"
+    "  founds_group: true\n"
+    "  announcement_interval_ms: 770\n"
+    "  grace_ms: 6000\n";
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(EachMessageComesBackAsItWas) {
+  auto hello = RoundTrip(Hello{"h", true, {1, 2}});
+  BOOST_TEST(hello.name == "h");
+  BOOST_TEST(hello.is_control);
+  BOOST_CHECK(hello.link == (Endpoint{1, 2}));
+  LogMessage log;
+  log.from = {3, 4};
+  log.message.kind = consensus::MessageKind::kAppend;
+  log.message.round = 9;
+  log.message.entries = {{1, 1, consensus::EntryKind::kCommand, "x"}};
+  auto log_back = RoundTrip(log);
+  BOOST_CHECK(log_back.from == log.from);
+  BOOST_TEST(log_back.message.round == 9U);
+  BOOST_CHECK(log_back.message.entries == log.message.entries);
+  auto join = RoundTrip(JoinMessage{{5, 6, {7, 8}}});
+  BOOST_TEST(join.request.id == 5U);
+  BOOST_TEST(join.request.instance == 6U);
+  Records records;
+  records.records.emplace_back().id = 11;
+  records.is_whole = true;
+  auto records_back = RoundTrip(records);
+  BOOST_REQUIRE(records_back.records.size() == 1U);
+  BOOST_TEST(records_back.records[0].id == 11U);
+  BOOST_TEST(records_back.is_whole);
+  auto refreshes = RoundTrip(Refreshes{{{1, 2}, {3, 4}}});
+  BOOST_TEST(refreshes.sequences[1].second == 4U);
+  BOOST_TEST(RoundTrip(Silences{{1, 2}}).ids[1] == 2U);
+  BOOST_CHECK(RoundTrip(Hosts{{{1, 2}}}).links[0] == (Endpoint{1, 2}));
+  RoundTrip(Complete{});
+  catalog::View view;
+  view.revision = 4;
+  BOOST_TEST(RoundTrip(view).revision == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(UnreadableMessagesAreRefused) {
+  for (std::string_view text :
+       {"", "{", "[]", "{\"kind\":\"what\"}", "{\"kind\":\"hello\"}",
+        "{\"kind\":\"records\",\"records\":[1],\"is_whole\":false}"}) {
+    BOOST_CHECK(!DecodeMessage(text));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(GoodSettingsAreRead) {
+  auto path = WriteSettings(kControl);
+  BOOST_TEST(IsNodeSettings(path));
+  auto file = ReadNodeSettings(path);
+  BOOST_REQUIRE(file.has_value());
+  BOOST_TEST(file->faults.empty());
+  BOOST_TEST(file->settings.founds_group);
+  auto links = SeedLinks(file->settings);
+  BOOST_REQUIRE(links.size() == 2U);
+  BOOST_TEST(FormatEndpoint(links[1]) == "10.0.0.2:7000");
+}
+
+BOOST_AUTO_TEST_CASE(FaultsNameFieldAndValue) {
+  std::string text = kControl;
+  text.replace(text.find("link_port: 7000"), 15, "link_port: 70000");
+  text.replace(text.find("10.0.0.2:8000"), 13, "not-an-address");
+  text.replace(text.find("role: control"), 13, "role: both");
+  auto file = ReadNodeSettings(WriteSettings(text));
+  BOOST_REQUIRE(file.has_value());
+  BOOST_REQUIRE(file->faults.size() == 3U);
+  BOOST_TEST(file->faults[0].field == "node.link_port");
+  BOOST_TEST(file->faults[0].value == "70000");
+  BOOST_TEST(file->faults[1].field == "node.seeds");
+  BOOST_TEST(file->faults[2].field == "node.role");
+}
+
+BOOST_AUTO_TEST_CASE(OtherSettingsAreNotTakenForThese) {
+  BOOST_TEST(!IsNodeSettings(WriteSettings("name: x\n")));
+  BOOST_TEST(!IsNodeSettings("/nowhere/at/all"));
+}
+
+}  // namespace acaciahold::node
--- a/unittests/Storage/data_folder_test.cc
+++ b/unittests/Storage/data_folder_test.cc
@@ -139,6 +139,55 @@
   BOOST_TEST(OpenError().find("acaciahold init") != std::string::npos);
 }
 
+// A snapshot that the log does not lead up to takes the place of all of it.
+BOOST_FIXTURE_TEST_CASE(ASnapshotOverALongerLogCanBeOpenedAgain, Fixture) {
+  Append(1, 5);
+  {
+    StoredState state;
+    auto folder = DataFolder::Open(path, state);
+    BOOST_REQUIRE(bool(folder));
+    Persist persist;
+    persist.snapshot.emplace();
+    persist.snapshot->index = 3;
+    persist.snapshot->term = 2;
+    persist.truncate_from = 4;
+    BOOST_REQUIRE(bool(folder->Write(persist)));
+  }
+  Append(4, 2);
+  BOOST_TEST(Load().entries.size() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(KeepsTheCommitHintAndNotes, Fixture) {
+  BOOST_TEST(Load().commit_hint == 0U);
+  BOOST_TEST(Load().notes == "");
+  {
+    StoredState state;
+    auto folder = DataFolder::Open(path, state);
+    BOOST_REQUIRE(bool(folder));
+    Persist persist;
+    persist.commit_hint = 1'234;
+    BOOST_REQUIRE(bool(folder->Write(persist)));
+    persist.commit_hint = 1'235;
+    BOOST_REQUIRE(bool(folder->Write(persist)));
+    BOOST_REQUIRE(bool(folder->SyncCommitHint()));
+    BOOST_REQUIRE(bool(folder->WriteNotes("some notes")));
+  }
+  BOOST_TEST(Load().commit_hint == 1'235U);
+  BOOST_TEST(Load().notes == "some notes");
+}
+
+BOOST_FIXTURE_TEST_CASE(DamagedHintsAndNotesAreDoneWithout, Fixture) {
+  for (const char* name : {"/commit", "/notes"}) {
+    std::ofstream(path + name) << "acaciah1 and something else";
+  }
+  BOOST_TEST(Load().commit_hint == 0U);
+  BOOST_TEST(Load().notes == "");
+  for (const char* name : {"/commit", "/notes"}) {
+    std::ofstream(path + name) << "";
+  }
+  BOOST_TEST(Load().commit_hint == 0U);
+}
+
 BOOST_FIXTURE_TEST_CASE(NeverInitializesTwice, Fixture) {
   BOOST_TEST(!DataFolder::Initialize(path, 3, 1, {}));
 }
--- /dev/null
+++ b/unittests/platform/codecs_test.cc
@@ -0,0 +1,210 @@
+// The platform's packet head and documents.
+
+#include <array>
+#include <cstring>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "documents.h"
+#include "packet_head.h"
+
+namespace acaciahold::platform {
+namespace {
+
+// A packet's bytes with room before them, as a packet port hands them out.
+class Buffer {
+ public:
+  explicit Buffer(std::vector<unsigned char> bytes)
+      : bytes_(kUpstreamIdBytes + bytes.size()) {
+    std::memcpy(bytes_.data() + kUpstreamIdBytes, bytes.data(), bytes.size());
+  }
+  std::span<std::byte> packet() {
+    return std::span(bytes_).subspan(kUpstreamIdBytes);
+  }
+
+ private:
+  std::vector<std::byte> bytes_;
+};
+
+// The opening packet that the platform's page shows.
+std::vector<unsigned char> ExampleOpening() {
+  return {0xd5, 0xc3, 0xb2, 0xa1, 0x10, 0x00, 0x00, 0x00, 0x00,
+          0x00, 0x00, 0x00, 0x44, 0x33, 0x22, 0x11, 0x00, 0x00,
+          0x00, 0x00, 0xbb, 0x01, 0x07, 0x00, 0x40, 0x64, 0x01,
+          0x00, 0x12, 0xc6, 0x41, 0x9c, 0x00, 0x00};
+}
+
+std::vector<unsigned char> ToVector(std::span<const std::byte> bytes) {
+  std::vector<unsigned char> copy(bytes.size());
+  std::memcpy(copy.data(), bytes.data(), bytes.size());
+  return copy;
+}
+
+constexpr std::string_view kHeartbeat =
+    R"({"service":"s","addr":"10.128.0.9:8080","zone":"a","version":"v1",)"
+    R"("slots":2,"state":"ready","warmupLeftMs":12.5,"seq":4,"born":99})";
+
+std::string MakeConfig(const std::string& route, const std::string& version) {
+  return R"({"version":)" + version + R"(,"routes":[)" + route +
+         R"(],"services":[{"name":"s","healthPath":"/h","maxConns":9,)"
+         R"("warmupS":2.0,"warmupPerS":1.5}],"limits":{"idleTimeoutMs":15000}})";
+}
+
+constexpr const char* kRoute =
+    R"({"name":"r","host":"198.18.0.1","prefix":"/8443/","kind":"safe",)"
+    R"("timeoutMs":800,"service":"s"})";
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(TheExampleOpeningIsRead) {
+  Buffer buffer(ExampleOpening());
+  auto head = ReadPacketHead(buffer.packet());
+  BOOST_REQUIRE(head.has_value());
+  BOOST_TEST(head->is_opening);
+  BOOST_TEST(FormatEndpoint(head->flow.caller) == "100.64.0.7:40001");
+  BOOST_TEST(FormatEndpoint(head->flow.listener) == "198.18.0.1:443");
+  BOOST_TEST(head->sequence == 0x11223344U);
+  BOOST_TEST(head->tag == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(TheExampleResetIsMade) {
+  Buffer buffer(ExampleOpening());
+  auto head = ReadPacketHead(buffer.packet());
+  const std::vector<unsigned char> expected{
+      0x00, 0x00, 0x00, 0x00, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00,
+      0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x41, 0x9c, 0x01, 0x00,
+      0x12, 0xc6, 0x07, 0x00, 0x40, 0x64, 0xbb, 0x01, 0x00, 0x00};
+  BOOST_TEST(ToVector(MakeReset(buffer.packet(), *head)) == expected,
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(OnlyTheTagIsWritten) {
+  Buffer buffer(ExampleOpening());
+  WriteTag(buffer.packet(), 0xa1b2c3d4);
+  auto expected = ExampleOpening();
+  expected[8] = 0xd4;
+  expected[9] = 0xc3;
+  expected[10] = 0xb2;
+  expected[11] = 0xa1;
+  BOOST_TEST(ToVector(buffer.packet()) == expected,
+             boost::test_tools::per_element());
+  BOOST_TEST(ReadPacketHead(buffer.packet())->tag == 0xa1b2c3d4U);
+}
+
+BOOST_AUTO_TEST_CASE(TheUpstreamIdStandsBeforeThePacket) {
+  Buffer buffer(ExampleOpening());
+  auto whole = PrependUpstreamId(buffer.packet(), 0x7f3a91c2);
+  auto bytes = ToVector(whole);
+  BOOST_REQUIRE(bytes.size() == kHeadBytes + kUpstreamIdBytes);
+  const std::vector<unsigned char> id{0, 0, 0, 0, 0x7f, 0x3a, 0x91, 0xc2};
+  BOOST_TEST(std::vector<unsigned char>(bytes.begin(), bytes.begin() + 8) == id,
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(ShortAndTornPacketsAreRefused) {
+  auto bytes = ExampleOpening();
+  bytes.pop_back();
+  BOOST_CHECK(!ReadPacketHead(Buffer(bytes).packet()));
+  bytes = ExampleOpening();
+  bytes[32] = 5;  // Data that is not there.
+  BOOST_CHECK(!ReadPacketHead(Buffer(bytes).packet()));
+}
+
+BOOST_AUTO_TEST_CASE(UpstreamIdsAreHexDigits) {
+  BOOST_TEST(*ParseUpstreamId("i-7f3a91c2") == 0x7f3a91c2U);
+  BOOST_CHECK(!ParseUpstreamId("i-"));
+  BOOST_CHECK(!ParseUpstreamId("i-00112233445566778"));
+}
+
+BOOST_AUTO_TEST_CASE(AHeartbeatIsRead) {
+  auto record = ReadHeartbeat(5, kHeartbeat);
+  BOOST_REQUIRE(record.has_value());
+  BOOST_TEST(record->id == 5U);
+  BOOST_TEST(FormatEndpoint(record->endpoint) == "10.128.0.9:8080");
+  BOOST_TEST(record->failure_domain == "a");
+  BOOST_TEST(record->cold_ms == 13U);
+  BOOST_TEST(record->born_ms == 99);
+  BOOST_CHECK(record->phase == directory::Phase::kServing);
+}
+
+BOOST_AUTO_TEST_CASE(HeartbeatsOfOtherWritersAreRefused) {
+  for (std::string_view body :
+       {R"({"service":"s"})", "{", "[]",
+        R"({"service":"s","addr":"x","zone":"a","slots":2,"state":"ready",)"
+        R"("warmupLeftMs":0,"seq":4})",
+        R"({"service":"s","addr":"1.1.1.1:1","zone":"a","slots":2,)"
+        R"("state":"odd","warmupLeftMs":0,"seq":4})",
+        R"({"service":"s","addr":"1.1.1.1:1","zone":"a","slots":"2",)"
+        R"("state":"ready","warmupLeftMs":0,"seq":4})",
+        R"({"service":"s","addr":"1.1.1.1:1","zone":"a","slots":2,)"
+        R"("state":"ready","warmupLeftMs":-1,"seq":4})"}) {
+    BOOST_CHECK(!ReadHeartbeat(5, body));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ALeaverMayTellItsStart) {
+  BOOST_TEST(ReadLeaverStart("") == 0);
+  BOOST_TEST(ReadLeaverStart("{}") == 0);
+  BOOST_TEST(ReadLeaverStart(R"({"born":7})") == 7);
+  BOOST_TEST(ReadLeaverStart(R"({"born":"x"})") == 0);
+}
+
+BOOST_AUTO_TEST_CASE(AConfigurationIsRead) {
+  auto document = ReadConfig(MakeConfig(kRoute, "7"));
+  BOOST_REQUIRE(document.has_value());
+  BOOST_TEST(document->faults.empty());
+  const auto& catalog = document->catalog;
+  BOOST_TEST(catalog.version == 7U);
+  BOOST_REQUIRE(catalog.listeners.size() == 1U);
+  BOOST_TEST(FormatEndpoint(catalog.listeners[0].endpoint) ==
+             "198.18.0.1:8443");
+  BOOST_TEST(catalog.services[0].cold_flows_per_second == 1.5);
+  BOOST_TEST(catalog.idle_timeout_ms == 15'000U);
+}
+
+BOOST_AUTO_TEST_CASE(SplitsHaveWeights) {
+  auto document = ReadConfig(MakeConfig(
+      R"({"name":"r","host":"198.18.0.1","prefix":"/8443/","timeoutMs":800,)"
+      R"("split":[{"service":"s","weight":90},{"service":"s","weight":10}]})",
+      "7"));
+  BOOST_REQUIRE(document.has_value());
+  BOOST_TEST(document->catalog.listeners[0].targets[0].weight == 90U);
+}
+
+BOOST_AUTO_TEST_CASE(InvalidConfigurationsHaveFaults) {
+  auto no_timeout = ReadConfig(MakeConfig(
+      R"({"name":"r","host":"198.18.0.1","prefix":"/8443/","timeoutMs":0,)"
+      R"("service":"s"})",
+      "7"));
+  BOOST_REQUIRE(no_timeout.has_value());
+  BOOST_REQUIRE(no_timeout->faults.size() == 1U);
+  BOOST_TEST(no_timeout->faults[0].field == "routes.r.timeoutMs");
+  auto unknown = ReadConfig(MakeConfig(
+      R"({"name":"r","host":"198.18.0.1","prefix":"/8443/","timeoutMs":1,)"
+      R"("service":"t"})",
+      "7"));
+  BOOST_REQUIRE(unknown.has_value());
+  BOOST_TEST(unknown->faults.size() == 1U);
+  auto twice =
+      ReadConfig(MakeConfig(std::string(kRoute) + "," + kRoute, "7"));
+  BOOST_REQUIRE(twice.has_value());
+  BOOST_TEST(twice->faults.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(UnreadableConfigurationsAreRefused) {
+  auto whole = MakeConfig(kRoute, "7");
+  BOOST_CHECK(!ReadConfig(whole.substr(0, whole.size() - 1)));
+  BOOST_CHECK(!ReadConfig(MakeConfig(kRoute, "\"7\"")));
+  BOOST_CHECK(!ReadConfig("{}"));
+  BOOST_CHECK(!ReadConfig(MakeConfig(
+      R"({"name":"r","host":"here","prefix":"/8443/","timeoutMs":1,)"
+      R"("service":"s"})",
+      "7")));
+  BOOST_CHECK(!ReadConfig(MakeConfig(
+      R"({"name":"r","host":"1.1.1.1","prefix":"/x/","timeoutMs":1,)"
+      R"("service":"s"})",
+      "7")));
+}
+
+}  // namespace acaciahold::platform
