Let upstreams that come back take their part, and no more

Cause: an upstream that was avoided kept its old turn, and got a run of new flows when its time was over, before it had answered one of them. Ruled out: shorter avoidance, which sends more flows to dead upstreams. Change: the rotation's last turn is the least that any candidate has; after its time an avoided upstream or domain is tried by a single opening, and the others wait for its outcome; load is compared among upstreams that are as near. Tests: AReturningCandidateDoesNotMakeUpForItsAbsence and AnUpstreamThatResetsOpeningsIsAvoided failed first (96 of 400 to a dead one).

--- a/include/acaciahold/Steering/placement.h
+++ b/include/acaciahold/Steering/placement.h
@@ -40,6 +40,12 @@
   double turn = 0;
 };
 
+// The rotation of one service: the turn that was taken last. A candidate that
+// was passed over for a while does not make up for it.
+struct Rotation {
+  double turn = 0;
+};
+
 // An upstream gets at most this times its even part to catch up with others,
 // and at least the inverse of it.
 inline constexpr double kMaxCatchUp = 1.6;
@@ -50,14 +56,15 @@
 
 // Picks the candidate whose turn it is and moves its turn on. Returns an index,
 // or -1 where there is none. `excluded` is an index that is passed over, or -1.
-int PickCandidate(std::span<PlacementCandidate* const> candidates,
+int PickCandidate(Rotation& rotation,
+                  std::span<PlacementCandidate* const> candidates,
                   int excluded,
                   Instant now);
 
-// Gives a candidate that has just become eligible a turn among the others.
-// `jitter` in [0, 1) spreads the hosts' first choices.
-void JoinRotation(PlacementCandidate& candidate,
-                  std::span<PlacementCandidate* const> others,
+// Gives a new candidate a turn in the rotation. `jitter` in [0, 1) spreads the
+// hosts' first choices.
+void JoinRotation(const Rotation& rotation,
+                  PlacementCandidate& candidate,
                   double jitter);
 
 }  // namespace acaciahold::steering
--- a/include/acaciahold/Steering/tag_steering.h
+++ b/include/acaciahold/Steering/tag_steering.h
@@ -91,7 +91,9 @@
 struct Reachability {
   uint32_t unanswered = 0;  // Openings in a row.
   Duration avoid_time = kAvoidTimeMin;
-  Instant avoid_deadline;  // Not chosen before it unless there is no other.
+  // Not chosen before it unless there is no other. After it a single opening
+  // tries again.
+  Instant avoid_deadline;
 };
 
 struct TagUpstream {
@@ -126,6 +128,7 @@
   // upstreams are likely to be as well.
   bool is_cut_off = false;
   std::map<std::string, Reachability> domains;
+  std::map<std::string, Rotation> rotations;  // One for each service.
   // Invariant: one for each entry of `directory`.
   std::map<directory::UpstreamId, TagUpstream> upstreams;
   std::unordered_map<Tag, TagUpstream*> by_tag;
--- a/lib/Steering/placement.cc
+++ b/lib/Steering/placement.cc
@@ -12,11 +12,16 @@
   return candidate.slots * (candidate.is_cold ? kColdSpeed : 1.0);
 }
 
-// Load for each slot, over all candidates.
-double MeanLoad(std::span<PlacementCandidate* const> candidates, Instant now) {
+// Load for each slot, over all candidates that are as near.
+double MeanLoad(std::span<PlacementCandidate* const> candidates,
+                bool is_local,
+                Instant now) {
   double load = 0;
   double slots = 0;
   for (const auto* candidate : candidates) {
+    if (candidate->is_local != is_local) {
+      continue;
+    }
     load += LoadAt(candidate->load, now);
     slots += candidate->slots;
   }
@@ -45,39 +50,32 @@
   meter.counted_at = now;
 }
 
-int PickCandidate(std::span<PlacementCandidate* const> candidates,
+int PickCandidate(Rotation& rotation,
+                  std::span<PlacementCandidate* const> candidates,
                   int excluded,
                   Instant now) {
   int best = -1;
   for (int i = 0; i < static_cast<int>(candidates.size()); ++i) {
-    bool is_better = i != excluded &&
-                     (best < 0 || candidates[i]->turn < candidates[best]->turn);
-    if (is_better) {
+    auto& turn = candidates[i]->turn;
+    turn = std::max(turn, rotation.turn);
+    if (i != excluded && (best < 0 || turn < candidates[best]->turn)) {
       best = i;
     }
   }
   if (best >= 0) {
     auto& candidate = *candidates[best];
-    candidate.turn +=
-        1 / Weight(candidate, MeanLoad(candidates, now), now);
+    rotation.turn = candidate.turn;
+    double mean_load = MeanLoad(candidates, candidate.is_local, now);
+    candidate.turn += 1 / Weight(candidate, mean_load, now);
     CountLoad(candidate.load, 1, now);
   }
   return best;
 }
 
-void JoinRotation(PlacementCandidate& candidate,
-                  std::span<PlacementCandidate* const> others,
+void JoinRotation(const Rotation& rotation,
+                  PlacementCandidate& candidate,
                   double jitter) {
-  double first = 0;
-  bool has_others = false;
-  for (const auto* other : others) {
-    if (other == &candidate) {
-      continue;
-    }
-    first = has_others ? std::min(first, other->turn) : other->turn;
-    has_others = true;
-  }
-  candidate.turn = std::max(candidate.turn, first) + jitter / candidate.slots;
+  candidate.turn = rotation.turn + jitter / candidate.slots;
 }
 
 }  // namespace acaciahold::steering
--- a/lib/Steering/tag_steering.cc
+++ b/lib/Steering/tag_steering.cc
@@ -146,6 +146,13 @@
   CountUnanswered(DomainOf(steering, upstream), kMaxUnansweredInDomain, now);
 }
 
+// Lets one opening try what did not answer before; others wait for its outcome.
+void HoldBackOthers(Reachability& reachability, uint32_t most, Instant now) {
+  if (reachability.unanswered >= most && now >= reachability.avoid_deadline) {
+    reachability.avoid_deadline = now + kOpenTimeout;
+  }
+}
+
 TagUpstream* FindTag(TagSteering& steering, Tag tag) {
   auto it = steering.by_tag.find(tag);
   return it == steering.by_tag.end() ? nullptr : it->second;
@@ -174,11 +181,15 @@
       excluded = static_cast<int>(i);
     }
   }
-  int chosen = PickCandidate(steering.scratch_candidates, excluded, now);
+  int chosen = PickCandidate(steering.rotations[service],
+                             steering.scratch_candidates, excluded, now);
   if (chosen < 0) {
     return {TagVerdict::kReset, TagReason::kNoUpstream, 0, {}, 0};
   }
-  return Forward(steering, *upstreams[chosen], TagReason::kPlaced);
+  auto& upstream = *upstreams[chosen];
+  HoldBackOthers(upstream.reachability, kMaxUnanswered, now);
+  HoldBackOthers(DomainOf(steering, upstream), kMaxUnansweredInDomain, now);
+  return Forward(steering, upstream, TagReason::kPlaced);
 }
 
 TagUpstream& EnsureUpstream(TagSteering& steering,
@@ -201,11 +212,9 @@
 // Gives an upstream a turn in its service's rotation, and a clean slate.
 void Enroll(TagSteering& steering,
             TagUpstream& upstream,
-            const directory::Record& record,
-            Instant now) {
-  CollectCandidates(steering, record.service, now);
+            const directory::Record& record) {
   std::uniform_real_distribution<double> jitter(0.0, 1.0);
-  JoinRotation(upstream.candidate, steering.scratch_candidates,
+  JoinRotation(steering.rotations[record.service], upstream.candidate,
                jitter(steering.random));
   upstream.candidate.load = {};
   upstream.reachability = {};
@@ -255,7 +264,7 @@
   upstream.silent_feeds &= ~(FeedMask{1} << feed);
   steering.directory.entries.at(record.id).is_silent = false;
   if (is_start) {
-    Enroll(steering, upstream, record, now);
+    Enroll(steering, upstream, record);
   }
   return change == directory::Change::kChanged;
 }
--- /dev/null
+++ b/unittests/Steering/placement_test.cc
@@ -0,0 +1,167 @@
+// Load patterns that placement answers.
+
+#include "acaciahold/Steering/placement.h"
+
+#include <algorithm>
+#include <array>
+#include <random>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+namespace acaciahold::steering {
+namespace {
+
+using std::chrono::milliseconds;
+
+const Instant kStart = FromUnixMillis(1'000'000);
+
+std::vector<PlacementCandidate*> PointersTo(
+    std::vector<PlacementCandidate>& candidates) {
+  std::vector<PlacementCandidate*> pointers;
+  for (auto& candidate : candidates) {
+    pointers.push_back(&candidate);
+  }
+  return pointers;
+}
+
+std::vector<PlacementCandidate> MakeCandidates(size_t n) {
+  std::vector<PlacementCandidate> candidates(n);
+  for (auto& candidate : candidates) {
+    candidate.slots = 2;
+  }
+  return candidates;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(NoCandidateIsNoChoice) {
+  Rotation rotation;
+  BOOST_TEST(PickCandidate(rotation, {}, -1, kStart) == -1);
+}
+
+BOOST_AUTO_TEST_CASE(ASteadyStreamIsSpreadEvenly) {
+  Rotation rotation;
+  auto candidates = MakeCandidates(5);
+  auto pointers = PointersTo(candidates);
+  std::array<int, 5> counts{};
+  Instant now = kStart;
+  for (int i = 0; i < 1'000; ++i) {
+    ++counts[PickCandidate(rotation, pointers, -1, now)];
+    now += milliseconds(10);
+  }
+  auto [least, most] = std::minmax_element(counts.begin(), counts.end());
+  BOOST_TEST(*most - *least <= 4);
+}
+
+BOOST_AUTO_TEST_CASE(SlotsDecideThePart) {
+  Rotation rotation;
+  auto candidates = MakeCandidates(2);
+  candidates[1].slots = 6;
+  auto pointers = PointersTo(candidates);
+  std::array<int, 2> counts{};
+  for (int i = 0; i < 800; ++i) {
+    ++counts[PickCandidate(rotation, pointers, -1, kStart + milliseconds(10 * i))];
+  }
+  BOOST_TEST(counts[1] > 560);
+  BOOST_TEST(counts[1] < 640);
+}
+
+BOOST_AUTO_TEST_CASE(TheExcludedOneIsPassedOver) {
+  Rotation rotation;
+  auto candidates = MakeCandidates(2);
+  auto pointers = PointersTo(candidates);
+  for (int i = 0; i < 10; ++i) {
+    BOOST_TEST(PickCandidate(rotation, pointers, 0, kStart) == 1);
+  }
+}
+
+// A replaced upstream has no long flows while the others carry many requests:
+// the new flows must not all go to it, least of all while it is cold.
+BOOST_AUTO_TEST_CASE(NoCrowdGoesToTheOneThatLooksIdle) {
+  Rotation rotation;
+  auto candidates = MakeCandidates(5);
+  for (size_t i = 1; i < candidates.size(); ++i) {
+    candidates[i].load = {400, kStart};
+  }
+  candidates[0].is_cold = true;
+  auto pointers = PointersTo(candidates);
+  JoinRotation(rotation, candidates[0], 0.5);
+  int to_cold = 0;
+  for (int i = 0; i < 500; ++i) {
+    to_cold += PickCandidate(rotation, pointers, -1, kStart + milliseconds(2 * i)) == 0;
+  }
+  BOOST_TEST(to_cold <= 100);  // Its even part.
+  candidates[0].is_cold = false;
+  int to_warm = 0;
+  for (int i = 0; i < 500; ++i) {
+    to_warm +=
+        PickCandidate(rotation, pointers, -1, kStart + milliseconds(1'000 + 2 * i)) == 0;
+  }
+  BOOST_TEST(to_warm > 110);  // It catches up,
+  BOOST_TEST(to_warm < 200);  // within bounds.
+}
+
+// Ten hosts that choose alone, as seen by the upstreams.
+BOOST_AUTO_TEST_CASE(HostsThatChooseAloneSpreadEvenlyTogether) {
+  std::mt19937_64 random(5);
+  std::uniform_real_distribution<double> jitter(0, 1);
+  std::array<int, 6> counts{};
+  for (int host = 0; host < 10; ++host) {
+    Rotation rotation;
+    auto candidates = MakeCandidates(6);
+    auto pointers = PointersTo(candidates);
+    for (auto& candidate : candidates) {
+      JoinRotation(rotation, candidate, jitter(random));
+    }
+    for (int i = 0; i < 33; ++i) {
+      ++counts[PickCandidate(rotation, pointers, -1, kStart + milliseconds(i))];
+    }
+  }
+  auto [least, most] = std::minmax_element(counts.begin(), counts.end());
+  BOOST_TEST(*most <= 60);
+  BOOST_TEST(*least >= 50);
+}
+
+// An upstream that was avoided for a while comes back: it gets its part, and
+// not all that it missed at once.
+BOOST_AUTO_TEST_CASE(AReturningCandidateDoesNotMakeUpForItsAbsence) {
+  Rotation rotation;
+  auto candidates = MakeCandidates(4);
+  auto pointers = PointersTo(candidates);
+  std::span<PlacementCandidate* const> others(pointers.data() + 1, 3);
+  Instant now = kStart;
+  for (int i = 0; i < 300; ++i) {
+    PickCandidate(rotation, others, -1, now);
+    now += milliseconds(5);
+  }
+  int to_returned = 0;
+  for (int i = 0; i < 20; ++i) {
+    to_returned += PickCandidate(rotation, pointers, -1, now) == 0;
+  }
+  BOOST_TEST(to_returned <= 9);
+  BOOST_TEST(to_returned >= 5);
+}
+
+BOOST_AUTO_TEST_CASE(OwnDomainGoesFirst) {
+  Rotation rotation;
+  auto candidates = MakeCandidates(4);
+  candidates[2].is_local = false;
+  candidates[3].is_local = false;
+  auto pointers = PointersTo(candidates);
+  int remote = 0;
+  for (int i = 0; i < 500; ++i) {
+    remote += PickCandidate(rotation, pointers, -1, kStart + milliseconds(10 * i)) >= 2;
+  }
+  BOOST_TEST(remote < 75);
+}
+
+BOOST_AUTO_TEST_CASE(LoadDecays) {
+  LoadMeter meter;
+  CountLoad(meter, 10, kStart);
+  CountLoad(meter, 5, kStart);
+  BOOST_TEST(LoadAt(meter, kStart) == 15);
+  BOOST_TEST(LoadAt(meter, kStart + kLoadMemory * 5) < 0.2);
+}
+
+}  // namespace acaciahold::steering
--- /dev/null
+++ b/unittests/Steering/tag_steering_test.cc
@@ -0,0 +1,339 @@
+// Decisions on opening and later packets: copies, silence, partitions.
+
+#include "acaciahold/Steering/tag_steering.h"
+
+#include <map>
+
+#include <boost/test/unit_test.hpp>
+
+namespace acaciahold::steering {
+namespace {
+
+using std::chrono::milliseconds;
+
+const Instant kStart = FromUnixMillis(1'000'000);
+constexpr Endpoint kListener{7, 443};
+
+directory::Record MakeRecord(directory::UpstreamId id,
+                             const std::string& domain) {
+  directory::Record record;
+  record.id = id;
+  record.service = "orders";
+  record.endpoint = {static_cast<uint32_t>(100 + id), 8080};
+  record.failure_domain = domain;
+  record.slots = 2;
+  record.born_ms = 1;
+  record.sequence = 1;
+  return record;
+}
+
+catalog::View MakeView(uint64_t revision) {
+  catalog::View view;
+  view.revision = revision;
+  view.catalog.version = revision;
+  view.catalog.services = {{"orders", 0}};
+  view.catalog.listeners = {{"a", kListener, {{"orders", 1}}}};
+  return view;
+}
+
+// A host in "north" that knows upstreams 1 to 3 in "north" and 4 to 6 in
+// "south" from feed 0.
+TagSteering MakeSteering() {
+  auto steering = MakeTagSteering("north", 1);
+  OnView(steering, MakeView(1));
+  OnFeedBegin(steering, 0);
+  for (directory::UpstreamId id = 1; id <= 6; ++id) {
+    OnRecord(steering, 0, MakeRecord(id, id <= 3 ? "north" : "south"), kStart);
+  }
+  OnFeedComplete(steering, 0);
+  return steering;
+}
+
+Opening MakeOpening(uint32_t caller, uint32_t copy = 0) {
+  return {{{caller, 4'000}, kListener}, 77, copy};
+}
+
+// Opens so many flows, each of which is answered at once, and counts upstreams.
+std::map<directory::UpstreamId, int> OpenFlows(TagSteering& steering,
+                                               uint32_t first,
+                                               int n,
+                                               Instant now) {
+  std::map<directory::UpstreamId, int> counts;
+  for (int i = 0; i < n; ++i) {
+    auto opening = MakeOpening(first + i);
+    auto decision = OnOpening(steering, opening, now);
+    ++counts[decision.upstream];
+    OnTagged(steering, opening.flow, decision.tag, 1, now);
+    now += milliseconds(5);
+  }
+  return counts;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(NothingIsDecidedWithoutATable) {
+  auto steering = MakeTagSteering("north", 1);
+  auto decision = OnOpening(steering, MakeOpening(1), kStart);
+  BOOST_CHECK(decision.verdict == TagVerdict::kDrop);
+  BOOST_CHECK(decision.reason == TagReason::kNoTable);
+}
+
+BOOST_AUTO_TEST_CASE(AnUnknownListenerIsAReset) {
+  auto steering = MakeSteering();
+  auto opening = MakeOpening(1);
+  opening.flow.listener.port = 444;
+  auto decision = OnOpening(steering, opening, kStart);
+  BOOST_CHECK(decision.verdict == TagVerdict::kReset);
+}
+
+BOOST_AUTO_TEST_CASE(LaterPacketsFollowTheTagOnAnyHost) {
+  auto steering = MakeSteering();
+  auto opened = OnOpening(steering, MakeOpening(1), kStart);
+  auto other = MakeSteering();  // Never saw the flow.
+  auto later = OnTagged(other, MakeOpening(1).flow, opened.tag, 1, kStart);
+  BOOST_CHECK(later.verdict == TagVerdict::kForward);
+  BOOST_TEST(later.upstream == opened.upstream);
+  BOOST_CHECK(later.endpoint == opened.endpoint);
+}
+
+BOOST_AUTO_TEST_CASE(AnUnknownTagIsNeverAReset) {
+  auto steering = MakeSteering();
+  auto decision =
+      OnTagged(steering, MakeOpening(1).flow, 0xdeadbeef, 1, kStart);
+  BOOST_CHECK(decision.verdict == TagVerdict::kDrop);
+}
+
+BOOST_AUTO_TEST_CASE(CopiesGoWhereTheFirstWent) {
+  auto steering = MakeSteering();
+  auto first = OnOpening(steering, MakeOpening(1), kStart);
+  auto copy = OnOpening(steering, MakeOpening(1, 1), kStart + milliseconds(50));
+  BOOST_TEST(copy.upstream == first.upstream);
+  OnTagged(steering, MakeOpening(1).flow, first.tag, 0,
+           kStart + milliseconds(60));
+  auto late = OnOpening(steering, MakeOpening(1, 2), kStart + milliseconds(600));
+  BOOST_TEST(late.upstream == first.upstream);
+}
+
+BOOST_AUTO_TEST_CASE(ACopyThatComesForWantOfAnAnswerGoesElsewhere) {
+  auto steering = MakeSteering();
+  auto first = OnOpening(steering, MakeOpening(1), kStart);
+  auto copy =
+      OnOpening(steering, MakeOpening(1, 1), kStart + milliseconds(200));
+  BOOST_CHECK(copy.verdict == TagVerdict::kForward);
+  BOOST_TEST(copy.upstream != first.upstream);
+}
+
+BOOST_AUTO_TEST_CASE(AnotherSequenceIsAnotherFlow) {
+  auto steering = MakeSteering();
+  auto first = OnOpening(steering, MakeOpening(1), kStart);
+  auto opening = MakeOpening(1);
+  opening.sequence = 78;
+  auto second = OnOpening(steering, opening, kStart + milliseconds(1));
+  BOOST_TEST(second.upstream != first.upstream);
+}
+
+BOOST_AUTO_TEST_CASE(ADrainingOrTakenOutUpstreamTakesNothingNew) {
+  auto steering = MakeSteering();
+  auto draining = MakeRecord(1, "north");
+  draining.phase = directory::Phase::kDraining;
+  draining.sequence = 2;
+  OnRecord(steering, 0, draining, kStart);
+  auto counts = OpenFlows(steering, 10, 60, kStart);
+  BOOST_TEST(counts[1] == 0);
+  // What is open on it runs on.
+  auto open =
+      OnTagged(steering, MakeOpening(1).flow, TagOf(1), 1, kStart);
+  BOOST_CHECK(open.verdict == TagVerdict::kForward);
+  auto view = MakeView(2);
+  view.domains_out = {"north"};
+  OnView(steering, view);
+  counts = OpenFlows(steering, 100, 60, kStart);
+  BOOST_TEST(counts[1] + counts[2] + counts[3] == 0);
+  view.revision = 3;
+  view.domains_out = {"north", "south"};
+  OnView(steering, view);
+  auto refused = OnOpening(steering, MakeOpening(300), kStart);
+  BOOST_CHECK(refused.verdict == TagVerdict::kReset);
+  BOOST_CHECK(refused.reason == TagReason::kNoUpstream);
+}
+
+BOOST_AUTO_TEST_CASE(AnOlderViewIsNotTaken) {
+  auto steering = MakeSteering();
+  BOOST_TEST(OnView(steering, MakeView(5)));
+  BOOST_TEST(!OnView(steering, MakeView(4)));
+  BOOST_TEST(steering.view.revision == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(TheLatestStartAtAnEndpointTakesTheNewFlows) {
+  auto steering = MakeSteering();
+  auto successor = MakeRecord(9, "north");
+  successor.endpoint = MakeRecord(1, "north").endpoint;
+  successor.born_ms = 50;
+  OnRecord(steering, 0, successor, kStart);
+  // A late word of the one before it.
+  auto late = MakeRecord(1, "north");
+  late.sequence = 8;
+  OnRecord(steering, 0, late, kStart);
+  auto counts = OpenFlows(steering, 10, 100, kStart);
+  BOOST_TEST(counts[1] == 0);
+  BOOST_TEST(counts[9] > 0);
+}
+
+BOOST_AUTO_TEST_CASE(SilenceCountsOnceAllFeedsTellOfIt) {
+  auto steering = MakeSteering();
+  OnFeedBegin(steering, 1);
+  for (directory::UpstreamId id = 1; id <= 6; ++id) {
+    OnRecord(steering, 1, MakeRecord(id, id <= 3 ? "north" : "south"), kStart);
+  }
+  OnFeedComplete(steering, 1);
+  BOOST_TEST(!OnSilence(steering, 0, 2, kStart));
+  BOOST_TEST(OpenFlows(steering, 10, 60, kStart)[2] > 0);
+  BOOST_TEST(OnSilence(steering, 1, 2, kStart));
+  BOOST_TEST(OpenFlows(steering, 100, 60, kStart)[2] == 0);
+}
+
+BOOST_AUTO_TEST_CASE(AFeedThatNeverHeardOfAnUpstreamDoesNotVouchForIt) {
+  auto steering = MakeSteering();
+  OnFeedBegin(steering, 1);
+  for (directory::UpstreamId id = 2; id <= 6; ++id) {
+    OnRecord(steering, 1, MakeRecord(id, id <= 3 ? "north" : "south"), kStart);
+  }
+  OnFeedComplete(steering, 1);
+  BOOST_TEST(OnSilence(steering, 0, 1, kStart));
+  BOOST_TEST(OpenFlows(steering, 10, 60, kStart)[1] == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ALostFeedNoLongerVouches) {
+  auto steering = MakeSteering();
+  OnFeedBegin(steering, 1);
+  for (directory::UpstreamId id = 1; id <= 6; ++id) {
+    OnRecord(steering, 1, MakeRecord(id, id <= 3 ? "north" : "south"), kStart);
+  }
+  OnFeedComplete(steering, 1);
+  OnSilence(steering, 0, 2, kStart);
+  OnFeedLost(steering, 1, kStart);
+  BOOST_TEST(OpenFlows(steering, 10, 60, kStart)[2] == 0);
+  OnFeedLost(steering, 0, kStart);  // Cut off: goes on with what is known.
+  BOOST_TEST(OpenFlows(steering, 100, 60, kStart)[3] > 0);
+}
+
+// An upstream crashes without a word: callers' copies show it long before its
+// announcements are missed.
+BOOST_AUTO_TEST_CASE(AnUpstreamThatAnswersNothingIsAvoided) {
+  auto steering = MakeSteering();
+  Instant now = kStart;
+  int to_dead = 0;
+  for (uint32_t i = 0; i < 200; ++i) {
+    auto opening = MakeOpening(10 + i);
+    auto decision = OnOpening(steering, opening, now);
+    if (decision.upstream == 2) {
+      ++to_dead;
+      auto copy = OnOpening(steering, MakeOpening(10 + i, 1),
+                            now + milliseconds(200));
+      BOOST_TEST(copy.upstream != 2U);
+      OnTagged(steering, opening.flow, copy.tag, 1, now + milliseconds(205));
+    } else {
+      OnTagged(steering, opening.flow, decision.tag, 1, now + milliseconds(5));
+    }
+    OnTick(steering, now);
+    now += milliseconds(10);
+  }
+  BOOST_TEST(to_dead <= 8);
+}
+
+// A process that is not running resets openings itself, so no copy comes: the
+// flow's next packet is what is missing.
+BOOST_AUTO_TEST_CASE(AnUpstreamThatResetsOpeningsIsAvoided) {
+  auto steering = MakeSteering();
+  Instant now = kStart;
+  int to_dead = 0;
+  for (uint32_t i = 0; i < 400; ++i) {
+    auto opening = MakeOpening(10 + i);
+    auto decision = OnOpening(steering, opening, now);
+    if (decision.upstream == 2) {
+      ++to_dead;
+    } else {
+      OnTagged(steering, opening.flow, decision.tag, 1, now);
+    }
+    now += milliseconds(10);
+    OnTick(steering, now);
+  }
+  BOOST_TEST(to_dead <= 40);  // An even part would be over 110.
+}
+
+BOOST_AUTO_TEST_CASE(AnUpstreamThatAnswersAgainIsUsedAgain) {
+  auto steering = MakeSteering();
+  Instant now = kStart;
+  for (uint32_t i = 0; i < 30; ++i) {
+    auto opening = MakeOpening(10 + i);
+    auto decision = OnOpening(steering, opening, now);
+    if (decision.upstream != 2) {
+      OnTagged(steering, opening.flow, decision.tag, 1, now);
+    }
+    now += milliseconds(50);
+    OnTick(steering, now);
+  }
+  now += kAvoidTimeMax;
+  BOOST_TEST(OpenFlows(steering, 500, 120, now)[2] > 20);
+}
+
+// A partition leaves every upstream of the other domain unanswered.
+BOOST_AUTO_TEST_CASE(AFailureDomainThatAnswersNothingIsAvoidedAsAWhole) {
+  auto steering = MakeSteering();
+  auto view = MakeView(2);
+  view.domains_out = {"north"};  // So that the south is used.
+  OnView(steering, view);
+  for (directory::UpstreamId id = 7; id <= 9; ++id) {
+    OnRecord(steering, 0, MakeRecord(id, "east"), kStart);
+  }
+  Instant now = kStart;
+  int to_south = 0;
+  for (uint32_t i = 0; i < 100; ++i) {
+    auto opening = MakeOpening(10 + i);
+    auto decision = OnOpening(steering, opening, now);
+    if (decision.upstream <= 6) {
+      ++to_south;
+      auto copy = OnOpening(steering, MakeOpening(10 + i, 1),
+                            now + milliseconds(200));
+      if (copy.upstream >= 7) {
+        OnTagged(steering, opening.flow, copy.tag, 1,
+                 now + milliseconds(205));
+      }
+    } else {
+      OnTagged(steering, opening.flow, decision.tag, 1, now);
+    }
+    now += milliseconds(4);
+    OnTick(steering, now);
+  }
+  BOOST_TEST(to_south <= 12);
+}
+
+BOOST_AUTO_TEST_CASE(ACutOffHostUsesItsOwnDomain) {
+  auto steering = MakeSteering();
+  BOOST_TEST(RemotePart(steering, kStart) == 0);
+  steering.is_cut_off = true;
+  auto counts = OpenFlows(steering, 10, 200, kStart);
+  BOOST_TEST(counts[4] + counts[5] + counts[6] == 0);
+  BOOST_TEST(RemotePart(steering, kStart) == 0);
+  auto view = MakeView(2);
+  view.domains_out = {"north"};
+  OnView(steering, view);
+  BOOST_TEST(RemotePart(steering, kStart) == 1);
+  // What may still be in reach is tried all the same.
+  counts = OpenFlows(steering, 300, 50, kStart);
+  BOOST_TEST(counts[4] + counts[5] + counts[6] == 50);
+}
+
+BOOST_AUTO_TEST_CASE(UpstreamsThatLeftLongAgoAreForgotten) {
+  auto steering = MakeSteering();
+  auto gone = MakeRecord(2, "north");
+  gone.phase = directory::Phase::kGone;
+  gone.sequence = 3;
+  OnRecord(steering, 0, gone, kStart);
+  ForgetUpstreams(steering, kStart + directory::kForgetTimeout);
+  BOOST_TEST(steering.upstreams.size() == 5U);
+  auto decision = OnTagged(steering, MakeOpening(1).flow, TagOf(2), 1, kStart);
+  BOOST_CHECK(decision.reason == TagReason::kUnknownTag);
+}
+
+}  // namespace acaciahold::steering
