Send packets at the speed of the host's own link

Ruled out: the processor (0.0042 of 0.038 cores at most), the upstreams, and the link towards the host, on which whole windows arrive. Change: a pacer, a core without I/O: what the link can't take waits, short packets before long ones, repeated packets once, 128 packets at most.

--- a/include/acaciahold/Node/node_settings.h
+++ b/include/acaciahold/Node/node_settings.h
@@ -34,6 +34,7 @@
   // Entry hosts.
   Endpoint packets;  // UDP: callers' packets.
   Endpoint ready;    // HTTP: whether the fabric may use this host.
+  double link_mbps = 0;  // Speed of the host's own link; 0: not limited.
 
   // Control hosts.
   Endpoint admin;    // HTTP: operators and upstreams.
--- a/include/acaciahold/Node/packet_port.h
+++ b/include/acaciahold/Node/packet_port.h
@@ -12,9 +12,11 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include "acaciahold/Node/pacer.h"
 #include "acaciahold/Support/address.h"
 #include "acaciahold/Support/error.h"
 
@@ -32,29 +34,37 @@
   struct Outgoing {
     Endpoint to;
     std::span<std::byte> bytes;  // Empty: nothing is sent.
+    uint64_t key = 0;  // The same for repetitions of a packet.
   };
   // `packet` has kPrefixRoom free bytes before it.
   using Handler = std::function<Outgoing(std::span<std::byte> packet)>;
 
   // Fails with SystemError.
   static Result<std::unique_ptr<PacketPort>> Bind(boost::asio::io_context& io,
-                                                  Endpoint endpoint);
+                                                  Endpoint endpoint,
+                                                  Pacer pacer);
 
   void Start(Handler handler);
 
+  const Pacer& pacer() const { return pacer_; }
+
   uint64_t received() const { return received_; }
   uint64_t sent() const { return sent_; }
   uint64_t send_failures() const { return send_failures_; }
 
  private:
-  explicit PacketPort(boost::asio::io_context& io);
+  PacketPort(boost::asio::io_context& io, Pacer pacer);
 
   void Wait();
   // Returns how many packets were read.
   size_t ReadBatch();
   void SendBatch(size_t n);
+  void SendWaiting();
 
   boost::asio::ip::udp::socket socket_;
+  Pacer pacer_;
+  boost::asio::steady_timer timer_;
+  bool is_timer_set_ = false;  // For packets that wait.
   Handler handler_;
   std::array<std::array<std::byte, kPrefixRoom + kPacketBytes>, kBatchSize>
       buffers_;
--- a/lib/Node/node_settings.cc
+++ b/lib/Node/node_settings.cc
@@ -3,6 +3,7 @@
 #include "acaciahold/Node/node_settings.h"
 
 #include <array>
+#include <charconv>
 
 #include "acaciahold/Yaml/field_reader.h"
 
@@ -13,6 +14,7 @@
 using yaml::FieldReader;
 using yaml::UnsignedRange;
 
+constexpr double kMaxLinkMbps = 1e6;
 constexpr UnsignedRange kPortRange{1, 65'535};
 constexpr UnsignedRange kIntervalMsRange{10, 600'000};
 
@@ -30,12 +32,27 @@
   }
 }
 
+// Megabits a second; 0, also for a missing field, for no limit.
+double ReadSpeed(FieldReader& reader, std::string_view key) {
+  auto text = reader.TextOr(key, "0");
+  double speed = 0;
+  auto [end, ec] =
+      std::from_chars(text.data(), text.data() + text.size(), speed);
+  bool is_good = ec == std::errc() && end == text.data() + text.size() &&
+                 speed >= 0 && speed <= kMaxLinkMbps;
+  if (!is_good) {
+    reader.AddFault(key, "megabits a second from 0 to 1000000");
+  }
+  return is_good ? speed : 0;
+}
+
 void ReadRole(FieldReader& reader, NodeSettings& settings) {
   auto role = reader.Text("role").value_or("");
   if (role == "entry") {
     settings.role = NodeRole::kEntry;
     settings.packets = reader.ReadEndpoint("packets").value_or(Endpoint());
     settings.ready = reader.ReadEndpoint("ready").value_or(Endpoint());
+    settings.link_mbps = ReadSpeed(reader, "link_mbps");
   } else if (role == "control") {
     settings.role = NodeRole::kControl;
     settings.admin = reader.ReadEndpoint("admin").value_or(Endpoint());
@@ -70,11 +87,11 @@
   root.CheckKeys(kRootKeys);
   NodeSettingsFile file;
   if (auto reader = root.Mapping("node")) {
-    constexpr std::array<std::string_view, 13> kKeys{
+    constexpr std::array<std::string_view, 14> kKeys{
         "name",    "failure_domain", "role",        "address",
         "seeds",   "link_port",      "packets",     "ready",
         "admin",   "data_folder",    "founds_group",
-        "announcement_interval_ms",  "grace_ms"};
+        "announcement_interval_ms",  "grace_ms", "link_mbps"};
     reader->CheckKeys(kKeys);
     auto& settings = file.settings;
     settings.name = reader->Text("name").value_or("");
--- /dev/null
+++ b/lib/Node/pacer.cc
@@ -0,0 +1,96 @@
+// Credit and queues of the pacer.
+
+#include "acaciahold/Node/pacer.h"
+
+#include <algorithm>
+
+namespace acaciahold::node {
+namespace {
+
+constexpr double kBytesPerMegabit = 125'000;
+
+bool HasWaiting(const Pacer& pacer) {
+  return !pacer.short_packets.empty() || !pacer.long_packets.empty();
+}
+
+double CreditAt(const Pacer& pacer, Instant now) {
+  double seconds = std::chrono::duration<double>(now - pacer.credited_at).count();
+  return std::min(kBurstBytes, pacer.credit + std::max(0.0, seconds) *
+                                                  pacer.bytes_per_second);
+}
+
+void Spend(Pacer& pacer, size_t bytes, Instant now) {
+  pacer.credit = CreditAt(pacer, now) -
+                 static_cast<double>(bytes + kDatagramOverheadBytes);
+  pacer.credited_at = now;
+}
+
+std::deque<WaitingPacket>& NextQueue(Pacer& pacer) {
+  return pacer.short_packets.empty() ? pacer.long_packets : pacer.short_packets;
+}
+
+}  // namespace
+
+Pacer MakePacer(double link_mbps) {
+  Pacer pacer;
+  pacer.bytes_per_second = link_mbps * kBytesPerMegabit * kPacedShare;
+  return pacer;
+}
+
+bool TrySend(Pacer& pacer, size_t bytes, Instant now) {
+  if (pacer.bytes_per_second <= 0) {
+    return true;
+  }
+  // Short packets overtake long ones that wait, and nothing else does.
+  bool is_first = bytes <= kShortPacketBytes ? pacer.short_packets.empty()
+                                             : !HasWaiting(pacer);
+  if (!is_first || CreditAt(pacer, now) <= 0) {
+    return false;
+  }
+  Spend(pacer, bytes, now);
+  return true;
+}
+
+void Hold(Pacer& pacer,
+          Endpoint to,
+          uint64_t key,
+          std::span<const std::byte> bytes) {
+  auto& queue = bytes.size() <= kShortPacketBytes ? pacer.short_packets
+                                                  : pacer.long_packets;
+  bool is_waiting =
+      std::any_of(queue.begin(), queue.end(),
+                  [&](const WaitingPacket& it) { return it.key == key; });
+  if (is_waiting) {
+    ++pacer.repeated;
+    return;
+  }
+  if (queue.size() >= kMaxWaitingPackets) {
+    ++pacer.dropped;
+    return;
+  }
+  queue.push_back({to, key, {bytes.begin(), bytes.end()}});
+}
+
+std::optional<WaitingPacket> TakeNext(Pacer& pacer, Instant now) {
+  if (!HasWaiting(pacer) || CreditAt(pacer, now) <= 0) {
+    return std::nullopt;
+  }
+  auto& queue = NextQueue(pacer);
+  auto packet = std::move(queue.front());
+  queue.pop_front();
+  Spend(pacer, packet.bytes.size(), now);
+  return packet;
+}
+
+std::optional<Instant> NextSendAt(const Pacer& pacer, Instant now) {
+  if (!HasWaiting(pacer)) {
+    return std::nullopt;
+  }
+  double missing = std::max(0.0, -CreditAt(pacer, now));
+  // One byte more, so that the credit is above 0 by then.
+  double seconds = (missing + 1) / pacer.bytes_per_second;
+  return now + std::chrono::duration_cast<Duration>(
+                   std::chrono::duration<double>(seconds));
+}
+
+}  // namespace acaciahold::node
--- a/lib/Node/packet_port.cc
+++ b/lib/Node/packet_port.cc
@@ -18,7 +18,8 @@
 
 }  // namespace
 
-PacketPort::PacketPort(asio::io_context& io) : socket_(io) {
+PacketPort::PacketPort(asio::io_context& io, Pacer pacer)
+    : socket_(io), pacer_(std::move(pacer)), timer_(io) {
   for (size_t i = 0; i < kBatchSize; ++i) {
     in_vectors_[i] = {buffers_[i].data() + kPrefixRoom, kPacketBytes};
     in_[i].msg_hdr.msg_iov = &in_vectors_[i];
@@ -32,8 +33,9 @@
 }
 
 Result<std::unique_ptr<PacketPort>> PacketPort::Bind(asio::io_context& io,
-                                                     Endpoint endpoint) {
-  std::unique_ptr<PacketPort> port(new PacketPort(io));
+                                                     Endpoint endpoint,
+                                                     Pacer pacer) {
+  std::unique_ptr<PacketPort> port(new PacketPort(io, std::move(pacer)));
   error_code ec;
   auto& socket = port->socket_;
   socket.open(udp::v4(), ec);
@@ -75,6 +77,7 @@
     return 0;  // Nothing there; the next wait reports what is wrong.
   }
   received_ += static_cast<uint64_t>(n);
+  Instant now = ReadClock();
   size_t outgoing = 0;
   for (int i = 0; i < n; ++i) {
     std::span packet(buffers_[i].data() + kPrefixRoom, in_[i].msg_len);
@@ -82,15 +85,43 @@
     if (action.bytes.empty()) {
       continue;
     }
+    if (!TrySend(pacer_, action.bytes.size(), now)) {
+      Hold(pacer_, action.to, action.key, action.bytes);
+      continue;
+    }
     out_vectors_[outgoing] = {action.bytes.data(), action.bytes.size()};
     out_addresses_[outgoing].sin_addr.s_addr = htonl(action.to.address);
     out_addresses_[outgoing].sin_port = htons(action.to.port);
     ++outgoing;
   }
   SendBatch(outgoing);
+  SendWaiting();
   return static_cast<size_t>(n);
 }
 
+// Sends what has had its turn, and sets the timer for the rest.
+void PacketPort::SendWaiting() {
+  Instant now = ReadClock();
+  while (auto packet = TakeNext(pacer_, now)) {
+    out_vectors_[0] = {packet->bytes.data(), packet->bytes.size()};
+    out_addresses_[0].sin_addr.s_addr = htonl(packet->to.address);
+    out_addresses_[0].sin_port = htons(packet->to.port);
+    SendBatch(1);
+  }
+  auto next = NextSendAt(pacer_, now);
+  if (!next || is_timer_set_) {
+    return;
+  }
+  is_timer_set_ = true;
+  timer_.expires_after(*next - now);
+  timer_.async_wait([this](error_code ec) {
+    is_timer_set_ = false;
+    if (!ec) {
+      SendWaiting();
+    }
+  });
+}
+
 void PacketPort::SendBatch(size_t n) {
   size_t begin = 0;
   while (begin < n) {
