Let entry hosts follow three control hosts, in different failure domains

Ruled out: uploads, 46 MB of 113 MB, and upstreams' announcements, 3 MB. Change: ChooseFeeds picks three, one in the own domain; control hosts tell whether they hear from a majority, and where fewer than three do for 300 ms, all known ones are tried until three are found. Being cut off counts current feeds only. Tests: feed_choice_test, with a partition and an election.

--- a/include/acaciahold/Link/link.h
+++ b/include/acaciahold/Link/link.h
@@ -38,6 +38,8 @@
                                            Endpoint to);
 
   void Start(Handlers handlers);
+
+  // Closes the session; no handler is called from then on.
   void Stop();
 
   // Returns false where no session is open; the message is then dropped.
--- a/include/acaciahold/Node/control_node.h
+++ b/include/acaciahold/Node/control_node.h
@@ -81,7 +81,9 @@
   void Connect(Endpoint to);
   void OnLinkOpen(Endpoint to);
   void UpdateLinks();
-  std::vector<Endpoint> KnownHosts() const;
+  Hosts KnownHosts() const;
+  bool IsCurrent(Instant now) const;
+  void TellStanding(Instant now);
 
   void SendToGroup(const consensus::Message& message);
   void SendToControlHosts(const Message& message);
@@ -112,10 +114,13 @@
   std::map<Endpoint, std::shared_ptr<link::Connector>> links_;
   // Where replicas are that sent a message, for answers to them.
   std::map<consensus::ReplicaId, Endpoint> seen_at_;
-  std::vector<Endpoint> heard_hosts_;  // From other control hosts.
+  Hosts heard_hosts_;  // From other control hosts.
+  // Of control hosts that opened a link, and of this one.
+  std::map<Endpoint, std::string> failure_domains_;
+  bool told_current_ = false;  // The standing that entry hosts were told.
   // Whether the directory has what other hosts knew when this one started.
   bool is_complete_ = false;
-  bool is_view_due_ = false;  // Entry hosts are told of the view soon.
+  bool is_view_due_ = false;        // Entry hosts are told of the view soon.
   bool has_unstored_news_ = false;  // The notes lie behind the directory.
   Instant complete_deadline_;
   Instant join_deadline_;
--- a/include/acaciahold/Node/entry_node.h
+++ b/include/acaciahold/Node/entry_node.h
@@ -15,6 +15,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "acaciahold/Link/link.h"
+#include "acaciahold/Node/feed_choice.h"
 #include "acaciahold/Node/messages.h"
 #include "acaciahold/Node/node_settings.h"
 #include "acaciahold/Steering/tag_steering.h"
@@ -57,9 +58,10 @@
   struct Feed {
     Endpoint to;
     std::shared_ptr<link::Connector> connector;  // Null: the slot is free.
-    std::vector<Endpoint> hosts;  // As this feed tells.
+    std::vector<ControlHost> hosts;              // As this feed tells.
     bool is_connected = false;
-    Instant lost_deadline;  // Not connected: the feed counts until then.
+    bool is_current = false;  // As this feed tells of itself.
+    Instant lost_deadline;    // Not connected: the feed counts until then.
   };
   // One bit each in steering::FeedMask.
   static constexpr uint32_t kMaxFeeds = 32;
@@ -71,15 +73,21 @@
   void OnNews(uint32_t feed, const Message& message);
   void OnRecords(uint32_t feed, const Records& message);
   void UpdateFeeds();
+  void StopFeed(uint32_t feed);
   void Tick();
   void DropLostFeeds(Instant now);
+  bool IsCurrent(const Feed& feed) const;
   bool IsCutOff() const;
   void CheckReach(Instant now);
-  std::set<Endpoint> KnownHosts() const;
+  void CheckPlan(Instant now);
+  std::set<ControlHost> KnownHosts() const;
 
   boost::asio::io_context& io_;
   NodeSettings settings_;
   std::vector<Endpoint> seeds_;  // Links.
+  uint64_t feed_seed_ = 0;
+  std::set<Endpoint> chosen_;  // To be followed where all are well.
+  FeedPlan plan_;
   steering::TagSteering steering_;
   std::array<Feed, kMaxFeeds> feeds_;
   boost::asio::steady_timer timer_;
--- a/include/acaciahold/Node/messages.h
+++ b/include/acaciahold/Node/messages.h
@@ -15,6 +15,7 @@
 #include "acaciahold/Consensus/group.h"
 #include "acaciahold/Consensus/message.h"
 #include "acaciahold/Directory/directory.h"
+#include "acaciahold/Node/feed_choice.h"
 #include "acaciahold/Support/error.h"
 
 namespace acaciahold::node {
@@ -24,6 +25,7 @@
   std::string name;
   bool is_control = false;
   Endpoint link;  // Of a control host's own listener.
+  std::string failure_domain;
 };
 
 // A message of the replicated log.
@@ -54,9 +56,15 @@
   std::vector<directory::UpstreamId> ids;
 };
 
-// The control hosts that are known: links.
+// The control hosts that are known.
 struct Hosts {
-  std::vector<Endpoint> links;
+  std::vector<ControlHost> hosts;
+};
+
+// To entry hosts: whether this control host hears from a majority, so that its
+// news are the newest.
+struct Standing {
+  bool is_current = false;
 };
 
 // To entry hosts: all that this control host knows has been sent.
@@ -69,6 +77,7 @@
                              Refreshes,
                              Silences,
                              Hosts,
+                             Standing,
                              Complete,
                              catalog::View>;
 
--- a/include/acaciahold/Node/node_settings.h
+++ b/include/acaciahold/Node/node_settings.h
@@ -22,7 +22,7 @@
   std::string name;
   std::string failure_domain;
   NodeRole role = NodeRole::kEntry;
-  uint32_t address = 0;  // Of this host, for links.
+  uint32_t address = 0;    // Of this host, for links.
   uint16_t link_port = 0;  // TCP, the same on all control hosts.
   // Operators' endpoints of some control hosts.
   std::vector<Endpoint> seeds;
@@ -32,12 +32,12 @@
   Duration grace{};
 
   // Entry hosts.
-  Endpoint packets;  // UDP: callers' packets.
-  Endpoint ready;    // HTTP: whether the fabric may use this host.
+  Endpoint packets;      // UDP: callers' packets.
+  Endpoint ready;        // HTTP: whether the fabric may use this host.
   double link_mbps = 0;  // Speed of the host's own link; 0: not limited.
 
   // Control hosts.
-  Endpoint admin;    // HTTP: operators and upstreams.
+  Endpoint admin;  // HTTP: operators and upstreams.
   std::string data_folder;
   bool founds_group = false;  // At the first start of a deployment.
 
--- a/include/acaciahold/Node/packet_port.h
+++ b/include/acaciahold/Node/packet_port.h
@@ -34,7 +34,7 @@
   struct Outgoing {
     Endpoint to;
     std::span<std::byte> bytes;  // Empty: nothing is sent.
-    uint64_t key = 0;  // The same for repetitions of a packet.
+    uint64_t key = 0;            // The same for repetitions of a packet.
   };
   // `packet` has kPrefixRoom free bytes before it.
   using Handler = std::function<Outgoing(std::span<std::byte> packet)>;
--- a/include/acaciahold/Steering/tag_steering.h
+++ b/include/acaciahold/Steering/tag_steering.h
@@ -53,13 +53,13 @@
 
 enum class TagReason {
   kPlaced,
-  kCopy,             // As the first packet.
-  kReplaced,         // The upstream of the first packet did not answer.
+  kCopy,      // As the first packet.
+  kReplaced,  // The upstream of the first packet did not answer.
   kByTag,
-  kNoListener,       // The table has no listener at the address.
-  kNoTable,          // Nothing is known yet.
-  kNoUpstream,       // No upstream of the service may take the flow.
-  kUnknownTag,       // Not known here; the news may still be on its way.
+  kNoListener,  // The table has no listener at the address.
+  kNoTable,     // Nothing is known yet.
+  kNoUpstream,  // No upstream of the service may take the flow.
+  kUnknownTag,  // Not known here; the news may still be on its way.
 };
 
 struct TagDecision {
--- a/include/acaciahold/Storage/data_folder.h
+++ b/include/acaciahold/Storage/data_folder.h
@@ -2,10 +2,10 @@
 //
 // Files: `lock`; `identity`, written once; `hard-state` and `snapshot`, each
 // replaced as a whole; `log`, appended to; `commit`, a hint that may be old
-// or torn; `notes`, which the owner may do without. Every file begins with a format
-// version, and every record carries its length and a checksum. A record is
-// safe only once it is synced; a torn record at the end of the log is cut off
-// on opening, and damage anywhere else is refused.
+// or torn; `notes`, which the owner may do without. Every file begins with a
+// format version, and every record carries its length and a checksum. A record
+// is safe only once it is synced; a torn record at the end of the log is cut
+// off on opening, and damage anywhere else is refused.
 
 #ifndef ACACIAHOLD_STORAGE_DATA_FOLDER_H_
 #define ACACIAHOLD_STORAGE_DATA_FOLDER_H_
@@ -45,7 +45,7 @@
   consensus::Snapshot snapshot;
   std::vector<consensus::LogEntry> entries;
   consensus::Index commit_hint = 0;
-  std::string notes;  // Empty where there are none, or they are damaged.
+  std::string notes;        // Empty where there are none, or they are damaged.
   uint64_t torn_bytes = 0;  // Cut from the end of the log.
 };
 
--- a/lib/Consensus/group.cc
+++ b/lib/Consensus/group.cc
@@ -58,9 +58,8 @@
 
 // A member that has not been heard for long.
 const Member* FindLost(const Replica& replica, Instant now) {
-  size_t voters =
-      std::count_if(replica.members.begin(), replica.members.end(),
-                    [](const Member& m) { return m.is_voter; });
+  size_t voters = std::count_if(replica.members.begin(), replica.members.end(),
+                                [](const Member& m) { return m.is_voter; });
   for (const auto& member : replica.members) {
     bool is_silent = now >= HeardAt(replica, member, now) + kMemberTimeout;
     bool may_leave = !member.is_voter || voters > kMinVoters;
@@ -73,9 +72,9 @@
 
 const JoinRequest* FindNew(const Replica& replica, const Joiners& joiners) {
   for (const auto& [id, joiner] : joiners.joiners) {
-    bool is_member = std::any_of(
-        replica.members.begin(), replica.members.end(),
-        [&, id = id](const Member& m) { return m.id == id; });
+    bool is_member =
+        std::any_of(replica.members.begin(), replica.members.end(),
+                    [&, id = id](const Member& m) { return m.id == id; });
     if (!is_member) {
       return &joiner.request;
     }
--- a/lib/Consensus/message.cc
+++ b/lib/Consensus/message.cc
@@ -104,15 +104,15 @@
 
 boost::json::value ToJson(const Message& message) {
   boost::json::object object{{"kind", static_cast<int>(message.kind)},
-                      {"from", message.from},
-                      {"to", message.to},
-                      {"instance", message.instance},
-                      {"term", message.term},
-                      {"index", message.index},
-                      {"log_term", message.log_term},
-                      {"commit", message.commit},
-                      {"round", message.round},
-                      {"granted", message.granted}};
+                             {"from", message.from},
+                             {"to", message.to},
+                             {"instance", message.instance},
+                             {"term", message.term},
+                             {"index", message.index},
+                             {"log_term", message.log_term},
+                             {"commit", message.commit},
+                             {"round", message.round},
+                             {"granted", message.granted}};
   if (!message.entries.empty()) {
     boost::json::array entries;
     for (const auto& entry : message.entries) {
--- a/lib/Directory/directory.cc
+++ b/lib/Directory/directory.cc
@@ -40,8 +40,8 @@
   bool was_cold = entry.cold_deadline > heard_at;
   bool is_changed = is_new || !IsSameNews(record, entry.record) ||
                     entry.is_silent || was_cold != (record.cold_ms > 0);
-  uint64_t sequence = std::max(is_leaving ? entry.record.sequence : 0,
-                               record.sequence);
+  uint64_t sequence =
+      std::max(is_leaving ? entry.record.sequence : 0, record.sequence);
   entry.record = record;
   entry.record.sequence = sequence;
   entry.heard_at = std::max(entry.heard_at, heard_at);
@@ -73,8 +73,7 @@
                uint64_t sequence,
                Instant heard_at) {
   auto it = directory.entries.find(id);
-  if (it == directory.entries.end() ||
-      it->second.record.sequence > sequence ||
+  if (it == directory.entries.end() || it->second.record.sequence > sequence ||
       it->second.record.phase == Phase::kGone) {
     return Change::kStale;
   }
@@ -140,7 +139,8 @@
     Record record;
     record.id = json::NumberAt<UpstreamId>(from, "id");
     record.service = json::TextAt(from, "service");
-    record.endpoint = UnpackEndpoint(json::NumberAt<uint64_t>(from, "endpoint"));
+    record.endpoint =
+        UnpackEndpoint(json::NumberAt<uint64_t>(from, "endpoint"));
     record.failure_domain = json::TextAt(from, "failure_domain");
     record.slots = json::NumberAt<uint32_t>(from, "slots");
     record.phase = json::EnumAt(from, "phase", Phase::kGone);
--- a/lib/Link/link.cc
+++ b/lib/Link/link.cc
@@ -62,18 +62,18 @@
       socket->close(close_ec);
     }
   });
-  socket->async_connect(
-      ToAsio(to_), [self = shared_from_this(), socket](error_code ec) {
-        if (self->is_stopped_) {
-          return;
-        }
-        if (ec || !socket->is_open()) {
-          self->ConnectLater();
-          return;
-        }
-        self->timer_.cancel();
-        self->OnConnected(std::move(*socket));
-      });
+  socket->async_connect(ToAsio(to_),
+                        [self = shared_from_this(), socket](error_code ec) {
+                          if (self->is_stopped_) {
+                            return;
+                          }
+                          if (ec || !socket->is_open()) {
+                            self->ConnectLater();
+                            return;
+                          }
+                          self->timer_.cancel();
+                          self->OnConnected(std::move(*socket));
+                        });
 }
 
 void Connector::OnConnected(tcp::socket socket) {
@@ -85,8 +85,8 @@
                   },
                   [self = shared_from_this()] {
                     self->session_ = nullptr;
-                    self->handlers_.on_close();
                     if (!self->is_stopped_) {
+                      self->handlers_.on_close();
                       self->ConnectLater();
                     }
                   }});
@@ -116,20 +116,20 @@
 }
 
 void Listener::Accept() {
-  acceptor_.async_accept([self = shared_from_this()](error_code ec,
-                                                     tcp::socket socket) {
-    if (!self->acceptor_.is_open()) {
-      return;
-    }
-    if (ec) {
-      // Out of descriptors, most likely: waits rather than spins.
-      self->timer_.expires_after(kReconnectDelayMax);
-      self->timer_.async_wait([self](error_code) { self->Accept(); });
-      return;
-    }
-    self->on_session_(Session::Create(std::move(socket)));
-    self->Accept();
-  });
+  acceptor_.async_accept(
+      [self = shared_from_this()](error_code ec, tcp::socket socket) {
+        if (!self->acceptor_.is_open()) {
+          return;
+        }
+        if (ec) {
+          // Out of descriptors, most likely: waits rather than spins.
+          self->timer_.expires_after(kReconnectDelayMax);
+          self->timer_.async_wait([self](error_code) { self->Accept(); });
+          return;
+        }
+        self->on_session_(Session::Create(std::move(socket)));
+        self->Accept();
+      });
 }
 
 Result<void> OpenAcceptor(tcp::acceptor& acceptor, Endpoint endpoint) {
--- a/lib/Link/session.cc
+++ b/lib/Link/session.cc
@@ -45,26 +45,25 @@
 }
 
 void Session::ReadHead() {
-  asio::async_read(
-      socket_, asio::buffer(head_),
-      [self = shared_from_this()](error_code ec, size_t) {
-        if (ec || self->is_closed_) {
-          self->Close();
-          return;
-        }
-        self->heard_at_ = std::chrono::steady_clock::now();
-        uint32_t n = 0;
-        for (auto byte : self->head_) {
-          n = (n << 8U) | byte;
-        }
-        if (n == 0) {
-          self->ReadHead();
-        } else if (n > kMaxMessageBytes) {
-          self->Close();
-        } else {
-          self->ReadBody(n);
-        }
-      });
+  asio::async_read(socket_, asio::buffer(head_),
+                   [self = shared_from_this()](error_code ec, size_t) {
+                     if (ec || self->is_closed_) {
+                       self->Close();
+                       return;
+                     }
+                     self->heard_at_ = std::chrono::steady_clock::now();
+                     uint32_t n = 0;
+                     for (auto byte : self->head_) {
+                       n = (n << 8U) | byte;
+                     }
+                     if (n == 0) {
+                       self->ReadHead();
+                     } else if (n > kMaxMessageBytes) {
+                       self->Close();
+                     } else {
+                       self->ReadBody(n);
+                     }
+                   });
 }
 
 void Session::ReadBody(uint32_t n) {
--- a/lib/Node/control_node.cc
+++ b/lib/Node/control_node.cc
@@ -36,7 +36,9 @@
 }  // namespace
 
 ControlNode::ControlNode(asio::io_context& io, NodeSettings settings)
-    : io_(io), settings_(std::move(settings)), timer_(io) {}
+    : io_(io), settings_(std::move(settings)), timer_(io) {
+  failure_domains_[settings_.link()] = settings_.failure_domain;
+}
 
 Result<std::unique_ptr<ControlNode>> ControlNode::Open(
     asio::io_context& io,
@@ -50,12 +52,11 @@
   }
   BOOST_LEAF_ASSIGN(node->group_, GroupShell::Open(io, std::move(group),
                                                    node->MakeGroupHandlers()));
-  BOOST_LEAF_ASSIGN(
-      node->listener_,
-      link::Listener::Listen(io, settings.link(),
-                             [self = node.get()](auto session) {
-                               self->OnSession(std::move(session));
-                             }));
+  BOOST_LEAF_ASSIGN(node->listener_,
+                    link::Listener::Listen(
+                        io, settings.link(), [self = node.get()](auto session) {
+                          self->OnSession(std::move(session));
+                        }));
   return node;
 }
 
@@ -70,8 +71,9 @@
   handlers.load_notes = [this](std::string_view notes) { LoadNotes(notes); };
   handlers.on_members = [this] {
     UpdateLinks();
-    SendToControlHosts(Hosts{KnownHosts()});
-    SendToEntryHosts(Hosts{KnownHosts()});
+    SendToControlHosts(KnownHosts());
+    SendToEntryHosts(KnownHosts());
+    TellStanding(ReadClock());
   };
   return handlers;
 }
@@ -85,7 +87,10 @@
 }
 
 void ControlNode::OnSeeds(std::vector<Endpoint> links) {
-  heard_hosts_ = std::move(links);
+  heard_hosts_.hosts.clear();
+  for (const auto& link : links) {
+    heard_hosts_.hosts.push_back({link, ""});
+  }
   UpdateLinks();
 }
 
@@ -96,6 +101,7 @@
   }
   CheckSilence(now);
   AskToJoin(now);
+  TellStanding(now);
   group_->StoreCommitHint();
   if (std::exchange(has_unstored_news_, false)) {
     group_->StoreNotes(Encode(WholeDirectory(now)));
@@ -175,14 +181,13 @@
 void ControlNode::OnSession(std::shared_ptr<link::Session> session) {
   uint64_t id = next_peer_++;
   peers_[id].session = session;
-  session->Start({[this, id](std::string_view text) {
-                    OnPeerMessage(id, text);
-                  },
-                  [this, id] {
-                    LogEvent(Weight::kNotable, "peer_lost",
-                             {{"peer", peers_[id].hello.name}});
-                    peers_.erase(id);
-                  }});
+  session->Start(
+      {[this, id](std::string_view text) { OnPeerMessage(id, text); },
+       [this, id] {
+         LogEvent(Weight::kNotable, "peer_lost",
+                  {{"peer", peers_[id].hello.name}});
+         peers_.erase(id);
+       }});
 }
 
 void ControlNode::OnPeerMessage(uint64_t peer, std::string_view text) {
@@ -207,6 +212,7 @@
     FeedEntryHost(peer);
     return;
   }
+  failure_domains_[hello.link] = hello.failure_domain;
   if (!links_.contains(hello.link)) {
     Connect(hello.link);
   }
@@ -214,7 +220,8 @@
 
 void ControlNode::FeedEntryHost(Peer& peer) {
   Instant now = ReadClock();
-  peer.session->Send(Encode(Hosts{KnownHosts()}));
+  peer.session->Send(Encode(KnownHosts()));
+  peer.session->Send(Encode(Standing{told_current_}));
   if (state_.view.revision > 0) {
     peer.session->Send(Encode(state_.view));
   }
@@ -245,7 +252,7 @@
   } else if (const auto* refreshes = std::get_if<Refreshes>(&message)) {
     OnRefreshes(*refreshes);
   } else if (const auto* hosts = std::get_if<Hosts>(&message)) {
-    heard_hosts_ = hosts->links;
+    heard_hosts_ = *hosts;
     UpdateLinks();
   }
 }
@@ -282,9 +289,8 @@
   for (const auto& [id, sequence] : message.sequences) {
     if (directory::Refresh(directory_, id, sequence, now) == Change::kChanged) {
       LogUpstream(directory_.entries.at(id), "heard again");
-      SendToEntryHosts(
-          Records{{directory::CurrentRecord(directory_.entries.at(id), now)},
-                  false});
+      SendToEntryHosts(Records{
+          {directory::CurrentRecord(directory_.entries.at(id), now)}, false});
     }
   }
 }
@@ -310,38 +316,60 @@
   LogEvent(Weight::kNotable, "control_host_found",
            {{"link", FormatEndpoint(to)}});
   auto& connector = *links_.at(to);
-  connector.Send(Encode(Hello{settings_.name, true, settings_.link()}));
+  connector.Send(Encode(
+      Hello{settings_.name, true, settings_.link(), settings_.failure_domain}));
   connector.Send(Encode(WholeDirectory(ReadClock())));
   if (group_->Leader()) {
-    connector.Send(Encode(Hosts{KnownHosts()}));
+    connector.Send(Encode(KnownHosts()));
   }
 }
 
-std::vector<Endpoint> ControlNode::KnownHosts() const {
-  std::vector<Endpoint> links;
+Hosts ControlNode::KnownHosts() const {
+  Hosts known;
   for (const auto& member : group_->members()) {
-    links.push_back(member.admin);
+    auto it = failure_domains_.find(member.admin);
+    known.hosts.push_back(
+        {member.admin, it == failure_domains_.end() ? "" : it->second});
   }
-  return links;
+  return known;
+}
+
+// Whether a leader with a majority was heard of late.
+bool ControlNode::IsCurrent(Instant now) const {
+  const auto& replica = group_->replica();
+  return replica.leader != 0 &&
+         now < replica.current_as_of + consensus::kElectionTimeoutMin;
+}
+
+void ControlNode::TellStanding(Instant now) {
+  if (IsCurrent(now) == told_current_) {
+    return;
+  }
+  told_current_ = !told_current_;
+  LogEvent(Weight::kNotable, "standing_changed",
+           {{"is_current", told_current_}});
+  SendToEntryHosts(Standing{told_current_});
 }
 
 // Keeps a link to each member. A host that knows of no leader also tries those
 // that it was told of.
 void ControlNode::UpdateLinks() {
   std::set<Endpoint> wanted;
-  for (const auto& link : KnownHosts()) {
-    wanted.insert(link);
+  for (const auto& host : KnownHosts().hosts) {
+    wanted.insert(host.link);
   }
   bool has_leader = group_->Leader().has_value();
   if (!has_leader) {
-    wanted.insert(heard_hosts_.begin(), heard_hosts_.end());
+    for (const auto& host : heard_hosts_.hosts) {
+      wanted.insert(host.link);
+    }
     auto seeds = SeedLinks(settings_);
     wanted.insert(seeds.begin(), seeds.end());
   }
   wanted.erase(settings_.link());
   for (auto it = links_.begin(); it != links_.end();) {
-    bool is_kept = !has_leader || wanted.contains(it->first) ||
-                   it->second->is_open();
+    bool is_kept =
+        !has_leader || wanted.contains(it->first) || it->second->is_open();
     if (is_kept) {
       ++it;
       continue;
@@ -368,8 +396,7 @@
   }
   auto it = to ? links_.find(*to) : links_.end();
   if (it != links_.end()) {
-    it->second->Send(
-        Encode(LogMessage{settings_.link(), message}));
+    it->second->Send(Encode(LogMessage{settings_.link(), message}));
   }
 }
 
@@ -484,8 +511,7 @@
   auto state = document ? catalog::StateFromJson(*document)
                         : Result<catalog::State>(document.error());
   if (!state) {
-    LogEvent(Weight::kNotable, "snapshot_unreadable",
-             {{"bytes", data.size()}});
+    LogEvent(Weight::kNotable, "snapshot_unreadable", {{"bytes", data.size()}});
     return;
   }
   state_ = std::move(*state);
--- a/lib/Node/entry_node.cc
+++ b/lib/Node/entry_node.cc
@@ -26,6 +26,7 @@
     : io_(io),
       settings_(std::move(settings)),
       seeds_(SeedLinks(settings_)),
+      feed_seed_(HashText(settings_.name)),
       steering_(steering::MakeTagSteering(settings_.failure_domain,
                                           SeedOf(settings_))),
       timer_(io) {}
@@ -54,6 +55,7 @@
   Instant now = ReadClock();
   steering::OnTick(steering_, now);
   DropLostFeeds(now);
+  CheckPlan(now);
   CheckReach(now);
   if (now >= forget_deadline_) {
     forget_deadline_ = now + kForgetInterval;
@@ -67,12 +69,28 @@
   });
 }
 
+bool EntryNode::IsCurrent(const Feed& feed) const {
+  return feed.is_connected && feed.is_current &&
+         feed.connector->IsHeard(kQuietTime);
+}
+
 bool EntryNode::IsCutOff() const {
-  auto heard = std::count_if(
-      feeds_.begin(), feeds_.end(), [](const Feed& feed) {
-        return feed.is_connected && feed.connector->IsHeard(kQuietTime);
+  auto current =
+      std::count_if(feeds_.begin(), feeds_.end(),
+                    [this](const Feed& feed) { return IsCurrent(feed); });
+  return current * 2 <= std::ssize(chosen_);
+}
+
+void EntryNode::CheckPlan(Instant now) {
+  auto current =
+      std::count_if(feeds_.begin(), feeds_.end(), [&](const Feed& feed) {
+        return IsCurrent(feed) && chosen_.contains(feed.to);
       });
-  return heard * 2 <= std::ssize(KnownHosts());
+  if (UpdatePlan(plan_, chosen_.size(), static_cast<size_t>(current), now)) {
+    LogEvent(Weight::kNotable, "feeds_changed",
+             {{"follows_all", plan_.is_wide}, {"current", current}});
+    UpdateFeeds();
+  }
 }
 
 void EntryNode::CheckReach(Instant now) {
@@ -81,15 +99,14 @@
     steering_.is_cut_off = is_cut_off;
     LogEvent(Weight::kNotable, "reach_changed", {{"is_cut_off", is_cut_off}});
   }
-  double remote_part =
-      is_cut_off ? steering::RemotePart(steering_, now) : 0.0;
+  double remote_part = is_cut_off ? steering::RemotePart(steering_, now) : 0.0;
   bool is_out_of_reach =
       is_cut_off && (is_out_of_reach_ || remote_part > kMaxRemotePart);
   if (is_out_of_reach != is_out_of_reach_) {
     is_out_of_reach_ = is_out_of_reach;
-    LogEvent(Weight::kNotable, "readiness_changed",
-             {{"is_out_of_reach", is_out_of_reach},
-              {"remote_part", remote_part}});
+    LogEvent(
+        Weight::kNotable, "readiness_changed",
+        {{"is_out_of_reach", is_out_of_reach}, {"remote_part", remote_part}});
   }
 }
 
@@ -121,20 +138,23 @@
          [this, i] { OnClose(i); }});
     return;
   }
-  LogEvent(Weight::kNotable, "feed_refused",
-           {{"link", FormatEndpoint(to)}, {"reason", "too many control hosts"}});
+  LogEvent(
+      Weight::kNotable, "feed_refused",
+      {{"link", FormatEndpoint(to)}, {"reason", "too many control hosts"}});
 }
 
 void EntryNode::OnOpen(uint32_t feed) {
   feeds_[feed].is_connected = true;
   LogEvent(Weight::kNotable, "feed_regained",
            {{"link", FormatEndpoint(feeds_[feed].to)}});
-  feeds_[feed].connector->Send(Encode(Hello{settings_.name, false, {}}));
+  feeds_[feed].connector->Send(
+      Encode(Hello{settings_.name, false, {}, settings_.failure_domain}));
   steering::OnFeedBegin(steering_, feed);
 }
 
 void EntryNode::OnClose(uint32_t feed) {
   feeds_[feed].is_connected = false;
+  feeds_[feed].is_current = false;
   feeds_[feed].lost_deadline = ReadClock() + kFeedTimeout;
   LogEvent(Weight::kNotable, "feed_lost",
            {{"link", FormatEndpoint(feeds_[feed].to)}});
@@ -160,8 +180,10 @@
       }
     }
   } else if (const auto* hosts = std::get_if<Hosts>(&message)) {
-    feeds_[feed].hosts = hosts->links;
+    feeds_[feed].hosts = hosts->hosts;
     UpdateFeeds();
+  } else if (const auto* standing = std::get_if<Standing>(&message)) {
+    feeds_[feed].is_current = standing->is_current;
   } else if (std::get_if<Complete>(&message)) {
     steering::OnFeedComplete(steering_, feed);
     is_complete_ = true;
@@ -193,28 +215,44 @@
 }
 
 // The hosts that feeds tell of; the seeds where none does.
-std::set<Endpoint> EntryNode::KnownHosts() const {
-  std::set<Endpoint> hosts;
+std::set<ControlHost> EntryNode::KnownHosts() const {
+  std::map<Endpoint, std::string> domains;
   for (const auto& feed : feeds_) {
-    hosts.insert(feed.hosts.begin(), feed.hosts.end());
+    for (const auto& host : feed.hosts) {
+      auto& domain = domains[host.link];
+      domain = domain.empty() ? host.failure_domain : domain;
+    }
+  }
+  if (domains.empty()) {
+    for (const auto& seed : seeds_) {
+      domains[seed];
+    }
   }
-  if (hosts.empty()) {
-    hosts.insert(seeds_.begin(), seeds_.end());
+  std::set<ControlHost> hosts;
+  for (const auto& [link, domain] : domains) {
+    hosts.insert({link, domain});
   }
   return hosts;
 }
 
 void EntryNode::UpdateFeeds() {
-  auto wanted = KnownHosts();
-  for (auto& feed : feeds_) {
-    bool is_over = feed.connector && !feed.is_connected &&
-                   feed.lost_deadline == Instant() &&
-                   !wanted.contains(feed.to);
-    if (is_over) {
-      feed.connector->Stop();
-      feed = {};
-    } else if (feed.connector) {
-      wanted.erase(feed.to);
+  auto known = KnownHosts();
+  chosen_ = ChooseFeeds(known, settings_.failure_domain, feed_seed_);
+  auto wanted = chosen_;
+  if (plan_.is_wide) {
+    for (const auto& host : known) {
+      wanted.insert(host.link);
+    }
+  }
+  for (uint32_t i = 0; i < kMaxFeeds; ++i) {
+    auto& feed = feeds_[i];
+    if (!feed.connector || wanted.erase(feed.to) > 0) {
+      continue;
+    }
+    // While others are looked for, what still tells something is kept.
+    bool is_kept = plan_.is_wide && feed.is_connected;
+    if (!is_kept) {
+      StopFeed(i);
     }
   }
   for (const auto& to : wanted) {
@@ -222,4 +260,10 @@
   }
 }
 
+void EntryNode::StopFeed(uint32_t feed) {
+  feeds_[feed].connector->Stop();
+  feeds_[feed] = {};
+  steering::OnFeedLost(steering_, feed, ReadClock());
+}
+
 }  // namespace acaciahold::node
--- a/lib/Node/group_shell.cc
+++ b/lib/Node/group_shell.cc
@@ -50,8 +50,8 @@
         settings.data_folder, settings.endpoint.address, RandomNumber(),
         consensus::FoundingMembers(founders));
   }
-  return storage::DataFolder::Initialize(
-      settings.data_folder, RandomReplicaId(), RandomNumber(), {});
+  return storage::DataFolder::Initialize(settings.data_folder,
+                                         RandomReplicaId(), RandomNumber(), {});
 }
 
 // Runs a write that the host can do without.
@@ -62,7 +62,9 @@
       [&](const SystemError& e) {
         LogEvent(Weight::kNotable, event, {{"reason", Describe(e)}});
       },
-      [&] { LogEvent(Weight::kNotable, event, {{"reason", "unknown"}}); });
+      [&] {
+        LogEvent(Weight::kNotable, event, {{"reason", "unknown"}});
+      });
 }
 
 }  // namespace
@@ -89,8 +91,8 @@
 
 Result<void> GroupShell::OpenFolder() {
   storage::StoredState stored;
-  BOOST_LEAF_ASSIGN(folder_, storage::DataFolder::Open(settings_.data_folder,
-                                                       stored));
+  BOOST_LEAF_ASSIGN(folder_,
+                    storage::DataFolder::Open(settings_.data_folder, stored));
   handlers_.restore(stored.snapshot.data);
   LogEvent(Weight::kNotable, "replica_opened",
            {{"replica", stored.replica_id},
@@ -125,8 +127,8 @@
   } else if (now >= consensus::NextDeadline(replica_)) {
     Process(consensus::OnTick(replica_, now));
     if (auto members = consensus::NextMembers(replica_, joiners_, now)) {
-      Process(consensus::ProposeMembers(replica_, std::move(*members), now)
-                  .output);
+      Process(
+          consensus::ProposeMembers(replica_, std::move(*members), now).output);
     }
     AnswerReaders();
   }
--- a/lib/Node/messages.cc
+++ b/lib/Node/messages.cc
@@ -20,7 +20,8 @@
   return {{"kind", "hello"},
           {"name", hello.name},
           {"is_control", hello.is_control},
-          {"link", PackEndpoint(hello.link)}};
+          {"link", PackEndpoint(hello.link)},
+          {"failure_domain", hello.failure_domain}};
 }
 
 value EncodePart(const LogMessage& message) {
@@ -60,11 +61,16 @@
 }
 
 value EncodePart(const Hosts& message) {
-  array links;
-  for (const auto& link : message.links) {
-    links.push_back(PackEndpoint(link));
+  array hosts;
+  for (const auto& host : message.hosts) {
+    hosts.push_back({{"link", PackEndpoint(host.link)},
+                     {"failure_domain", host.failure_domain}});
   }
-  return {{"kind", "hosts"}, {"links", std::move(links)}};
+  return {{"kind", "hosts"}, {"hosts", std::move(hosts)}};
+}
+
+value EncodePart(const Standing& message) {
+  return {{"kind", "standing"}, {"is_current", message.is_current}};
 }
 
 value EncodePart(const Complete&) {
@@ -128,8 +134,9 @@
 
 Message DecodeHosts(const object& from) {
   Hosts message;
-  for (const auto& it : from.at("links").as_array()) {
-    message.links.push_back(EndpointOf(it));
+  for (const auto& it : from.at("hosts").as_array()) {
+    message.hosts.push_back(
+        {EndpointOf(it.at("link")), TextAt(it.as_object(), "failure_domain")});
   }
   return message;
 }
@@ -138,7 +145,7 @@
   auto kind = TextAt(from, "kind");
   if (kind == "hello") {
     return Hello{TextAt(from, "name"), from.at("is_control").as_bool(),
-                 EndpointOf(from.at("link"))};
+                 EndpointOf(from.at("link")), TextAt(from, "failure_domain")};
   }
   if (kind == "log") {
     return DecodeLog(from);
@@ -158,6 +165,9 @@
   if (kind == "hosts") {
     return DecodeHosts(from);
   }
+  if (kind == "standing") {
+    return Standing{from.at("is_current").as_bool()};
+  }
   if (kind == "complete") {
     return Complete{};
   }
--- a/lib/Node/node_settings.cc
+++ b/lib/Node/node_settings.cc
@@ -88,10 +88,11 @@
   NodeSettingsFile file;
   if (auto reader = root.Mapping("node")) {
     constexpr std::array<std::string_view, 14> kKeys{
-        "name",    "failure_domain", "role",        "address",
-        "seeds",   "link_port",      "packets",     "ready",
-        "admin",   "data_folder",    "founds_group",
-        "announcement_interval_ms",  "grace_ms", "link_mbps"};
+        "name",        "failure_domain", "role",
+        "address",     "seeds",          "link_port",
+        "packets",     "ready",          "admin",
+        "data_folder", "founds_group",   "announcement_interval_ms",
+        "grace_ms",    "link_mbps"};
     reader->CheckKeys(kKeys);
     auto& settings = file.settings;
     settings.name = reader->Text("name").value_or("");
--- a/lib/Node/pacer.cc
+++ b/lib/Node/pacer.cc
@@ -14,7 +14,8 @@
 }
 
 double CreditAt(const Pacer& pacer, Instant now) {
-  double seconds = std::chrono::duration<double>(now - pacer.credited_at).count();
+  double seconds =
+      std::chrono::duration<double>(now - pacer.credited_at).count();
   return std::min(kBurstBytes, pacer.credit + std::max(0.0, seconds) *
                                                   pacer.bytes_per_second);
 }
--- a/lib/Observe/event_log.cc
+++ b/lib/Observe/event_log.cc
@@ -6,13 +6,12 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <mutex>
 
 #include <boost/json/serialize.hpp>
 #include <fcntl.h>
 #include <unistd.h>
 
-#include <mutex>
-
 namespace acaciahold::observe {
 namespace {
 
--- a/lib/Steering/placement.cc
+++ b/lib/Steering/placement.cc
@@ -28,7 +28,9 @@
   return slots > 0 ? load / slots : 0;
 }
 
-double Weight(const PlacementCandidate& candidate, double mean_load, Instant now) {
+double Weight(const PlacementCandidate& candidate,
+              double mean_load,
+              Instant now) {
   // One request more on each side keeps small counts from deciding.
   double own_load = (LoadAt(candidate.load, now) + 1) / candidate.slots;
   double catch_up = std::clamp((mean_load + 1.0 / candidate.slots) / own_load,
--- a/lib/Steering/tag_steering.cc
+++ b/lib/Steering/tag_steering.cc
@@ -57,9 +57,9 @@
     return Rank::kNever;
   }
   auto domain = steering.domains.find(record.failure_domain);
-  bool is_avoided = now < upstream.reachability.avoid_deadline ||
-                    (domain != steering.domains.end() &&
-                     now < domain->second.avoid_deadline);
+  bool is_avoided =
+      now < upstream.reachability.avoid_deadline ||
+      (domain != steering.domains.end() && now < domain->second.avoid_deadline);
   bool is_out_of_reach = steering.is_cut_off && !upstream.candidate.is_local;
   bool is_doubtful =
       is_avoided || is_out_of_reach || IsSilent(steering, upstream);
@@ -255,8 +255,8 @@
   bool is_start = known == steering.directory.entries.end() ||
                   known->second.record.born_ms < record.born_ms;
   auto change = directory::Merge(steering.directory, record, now);
-  auto& upstream = EnsureUpstream(
-      steering, steering.directory.entries.at(record.id).record);
+  auto& upstream =
+      EnsureUpstream(steering, steering.directory.entries.at(record.id).record);
   if (change != directory::Change::kStale) {
     upstream.silent_feeds = 0;
     NoteEndpoint(steering, record);
@@ -379,8 +379,8 @@
     double requests = LoadAt(upstream.candidate.load, now);
     load[entry.record.service] += requests;
     total += requests;
-    bool takes_flows = RankOf(steering, upstream, entry.record, now) ==
-                       Rank::kGood;
+    bool takes_flows =
+        RankOf(steering, upstream, entry.record, now) == Rank::kGood;
     if (upstream.candidate.is_local && takes_flows) {
       local.insert(entry.record.service);
     }
--- a/lib/Storage/data_folder.cc
+++ b/lib/Storage/data_folder.cc
@@ -219,8 +219,8 @@
     return 0;
   }
   std::string_view content = *bytes;
-  auto scan = ScanRecords(
-      content.substr(std::min(content.size(), kFileHeader.size())));
+  auto scan =
+      ScanRecords(content.substr(std::min(content.size(), kFileHeader.size())));
   consensus::Index index = 0;
   if (!scan.payloads.empty()) {
     auto text = scan.payloads.front();
@@ -335,8 +335,7 @@
 Result<void> DataFolder::WriteCommitHint(consensus::Index index) {
   std::string record = EncodeRecord(std::to_string(index));
   if (::pwrite(commit_.get(), record.data(), record.size(),
-               kFileHeader.size()) !=
-      static_cast<ssize_t>(record.size())) {
+               kFileHeader.size()) != static_cast<ssize_t>(record.size())) {
     return leaf::new_error(LastError("write " + path_ + "/commit"));
   }
   return {};
--- a/unittests/Consensus/group_test.cc
+++ b/unittests/Consensus/group_test.cc
@@ -76,8 +76,7 @@
   auto leader = MakeLeader(3);
   Joiners joiners;
   OnJoinRequest(joiners, {9, 909, LinkOf(9)}, kStart);
-  BOOST_TEST(
-      !NextMembers(leader, joiners, kStart + kJoinTimeout).has_value());
+  BOOST_TEST(!NextMembers(leader, joiners, kStart + kJoinTimeout).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(ANewDiskAtAnOldEndpointTakesTheOldOnesPlace) {
--- a/unittests/Directory/directory_test.cc
+++ b/unittests/Directory/directory_test.cc
@@ -49,8 +49,7 @@
   BOOST_CHECK(Merge(directory, MakeRecord(1, 6, 1), kStart) ==
               Change::kChanged);
   BOOST_CHECK(directory.entries.at(1).record.phase == Phase::kServing);
-  BOOST_CHECK(Merge(directory, MakeRecord(1, 5, 91), kStart) ==
-              Change::kStale);
+  BOOST_CHECK(Merge(directory, MakeRecord(1, 5, 91), kStart) == Change::kStale);
 }
 
 BOOST_AUTO_TEST_CASE(WhatHasLeftComesBackOnlyWithANewStart) {
@@ -58,8 +57,7 @@
   Merge(directory, MakeRecord(1, 5, 3), kStart);
   BOOST_CHECK(Remove(directory, 1, 0, kStart) == Change::kChanged);
   BOOST_CHECK(Remove(directory, 1, 0, kStart) == Change::kStale);
-  BOOST_CHECK(Merge(directory, MakeRecord(1, 5, 9), kStart) ==
-              Change::kStale);
+  BOOST_CHECK(Merge(directory, MakeRecord(1, 5, 9), kStart) == Change::kStale);
   BOOST_CHECK(Merge(directory, MakeRecord(1, 6, 1), kStart) ==
               Change::kChanged);
 }
@@ -112,11 +110,11 @@
   auto record = MakeRecord(1, 5, 1);
   record.cold_ms = 2'000;
   Merge(directory, record, kStart);
-  auto later = CurrentRecord(directory.entries.at(1),
-                             kStart + milliseconds(1'500));
+  auto later =
+      CurrentRecord(directory.entries.at(1), kStart + milliseconds(1'500));
   BOOST_TEST(later.cold_ms == 500U);
-  auto warm = CurrentRecord(directory.entries.at(1),
-                            kStart + milliseconds(2'500));
+  auto warm =
+      CurrentRecord(directory.entries.at(1), kStart + milliseconds(2'500));
   BOOST_TEST(warm.cold_ms == 0U);
 }
 
--- /dev/null
+++ b/unittests/Node/feed_choice_test.cc
@@ -0,0 +1,76 @@
+// Which control hosts entry hosts follow, also through partitions.
+
+#include "acaciahold/Node/feed_choice.h"
+
+#include <map>
+
+#include <boost/test/unit_test.hpp>
+
+namespace acaciahold::node {
+namespace {
+
+using std::chrono::milliseconds;
+
+const Instant kStart = FromUnixMillis(1'000'000);
+
+// Two control hosts in each of four failure domains.
+std::set<ControlHost> MakeHosts() {
+  std::set<ControlHost> hosts;
+  for (uint32_t i = 0; i < 8; ++i) {
+    hosts.insert({{i, 7'000}, "d" + std::to_string(i / 2)});
+  }
+  return hosts;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(FeedsAreSpreadOverFailureDomains) {
+  std::map<Endpoint, int> followers;
+  for (uint64_t seed = 0; seed < 800; ++seed) {
+    auto chosen = ChooseFeeds(MakeHosts(), "d1", seed);
+    BOOST_TEST(chosen.size() == kWantedFeeds);
+    std::set<uint32_t> domains;
+    for (const auto& link : chosen) {
+      domains.insert(link.address / 2);
+      ++followers[link];
+    }
+    BOOST_TEST(domains.size() == kWantedFeeds);
+    BOOST_TEST(domains.contains(1));
+  }
+  BOOST_TEST(followers.size() == 8U);
+  for (const auto& [link, n] : followers) {
+    BOOST_TEST(n > 150);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(FewHostsAreAllFollowed) {
+  std::set<ControlHost> hosts{{{1, 7'000}, "d1"}, {{2, 7'000}, "d1"}};
+  BOOST_TEST(ChooseFeeds(hosts, "d1", 5).size() == 2U);
+  std::set<ControlHost> seeds{
+      {{1, 7'000}, ""}, {{2, 7'000}, ""}, {{3, 7'000}, ""}};
+  BOOST_TEST(ChooseFeeds(seeds, "d1", 5).size() == 3U);
+}
+
+// The followed hosts are in the minority of a partition: others must be found
+// well within the time in which a change is to be in force.
+BOOST_AUTO_TEST_CASE(AllHostsAreTriedWhereTooFewAreCurrent) {
+  FeedPlan plan;
+  BOOST_TEST(!UpdatePlan(plan, 3, 3, kStart));
+  BOOST_TEST(!UpdatePlan(plan, 3, 1, kStart));
+  BOOST_TEST(UpdatePlan(plan, 3, 2, kStart + kWidenDelay));
+  BOOST_TEST(plan.is_wide);
+  BOOST_TEST(!UpdatePlan(plan, 3, 3, kStart + kWidenDelay));
+  auto later = kStart + kWidenDelay + kNarrowDelay;
+  BOOST_TEST(UpdatePlan(plan, 3, 3, later));
+  BOOST_TEST(!plan.is_wide);
+}
+
+BOOST_AUTO_TEST_CASE(AnElectionIsNoReasonToTryAll) {
+  FeedPlan plan;
+  UpdatePlan(plan, 3, 0, kStart);
+  BOOST_TEST(!UpdatePlan(plan, 3, 3, kStart + kWidenDelay / 2));
+  BOOST_TEST(!UpdatePlan(plan, 3, 0, kStart + kWidenDelay));
+  BOOST_TEST(!plan.is_wide);
+}
+
+}  // namespace acaciahold::node
--- a/unittests/Node/messages_test.cc
+++ b/unittests/Node/messages_test.cc
@@ -46,7 +46,7 @@
 }  // namespace
 
 BOOST_AUTO_TEST_CASE(EachMessageComesBackAsItWas) {
-  auto hello = RoundTrip(Hello{"h", true, {1, 2}});
+  auto hello = RoundTrip(Hello{"h", true, {1, 2}, "north"});
   BOOST_TEST(hello.name == "h");
   BOOST_TEST(hello.is_control);
   BOOST_CHECK(hello.link == (Endpoint{1, 2}));
@@ -72,7 +72,9 @@
   auto refreshes = RoundTrip(Refreshes{{{1, 2}, {3, 4}}});
   BOOST_TEST(refreshes.sequences[1].second == 4U);
   BOOST_TEST(RoundTrip(Silences{{1, 2}}).ids[1] == 2U);
-  BOOST_CHECK(RoundTrip(Hosts{{{1, 2}}}).links[0] == (Endpoint{1, 2}));
+  Hosts hosts{{{{1, 2}, "north"}}};
+  BOOST_CHECK(RoundTrip(hosts).hosts == hosts.hosts);
+  BOOST_TEST(RoundTrip(Standing{true}).is_current);
   RoundTrip(Complete{});
   catalog::View view;
   view.revision = 4;
--- a/unittests/Steering/placement_test.cc
+++ b/unittests/Steering/placement_test.cc
@@ -61,7 +61,8 @@
   auto pointers = PointersTo(candidates);
   std::array<int, 2> counts{};
   for (int i = 0; i < 800; ++i) {
-    ++counts[PickCandidate(rotation, pointers, -1, kStart + milliseconds(10 * i))];
+    ++counts[PickCandidate(rotation, pointers, -1,
+                           kStart + milliseconds(10 * i))];
   }
   BOOST_TEST(counts[1] > 560);
   BOOST_TEST(counts[1] < 640);
@@ -89,14 +90,15 @@
   JoinRotation(rotation, candidates[0], 0.5);
   int to_cold = 0;
   for (int i = 0; i < 500; ++i) {
-    to_cold += PickCandidate(rotation, pointers, -1, kStart + milliseconds(2 * i)) == 0;
+    to_cold += PickCandidate(rotation, pointers, -1,
+                             kStart + milliseconds(2 * i)) == 0;
   }
   BOOST_TEST(to_cold <= 100);  // Its even part.
   candidates[0].is_cold = false;
   int to_warm = 0;
   for (int i = 0; i < 500; ++i) {
-    to_warm +=
-        PickCandidate(rotation, pointers, -1, kStart + milliseconds(1'000 + 2 * i)) == 0;
+    to_warm += PickCandidate(rotation, pointers, -1,
+                             kStart + milliseconds(1'000 + 2 * i)) == 0;
   }
   BOOST_TEST(to_warm > 110);  // It catches up,
   BOOST_TEST(to_warm < 200);  // within bounds.
@@ -151,7 +153,8 @@
   auto pointers = PointersTo(candidates);
   int remote = 0;
   for (int i = 0; i < 500; ++i) {
-    remote += PickCandidate(rotation, pointers, -1, kStart + milliseconds(10 * i)) >= 2;
+    remote += PickCandidate(rotation, pointers, -1,
+                            kStart + milliseconds(10 * i)) >= 2;
   }
   BOOST_TEST(remote < 75);
 }
--- a/unittests/Steering/tag_steering_test.cc
+++ b/unittests/Steering/tag_steering_test.cc
@@ -110,7 +110,8 @@
   BOOST_TEST(copy.upstream == first.upstream);
   OnTagged(steering, MakeOpening(1).flow, first.tag, 0,
            kStart + milliseconds(60));
-  auto late = OnOpening(steering, MakeOpening(1, 2), kStart + milliseconds(600));
+  auto late =
+      OnOpening(steering, MakeOpening(1, 2), kStart + milliseconds(600));
   BOOST_TEST(late.upstream == first.upstream);
 }
 
@@ -141,8 +142,7 @@
   auto counts = OpenFlows(steering, 10, 60, kStart);
   BOOST_TEST(counts[1] == 0);
   // What is open on it runs on.
-  auto open =
-      OnTagged(steering, MakeOpening(1).flow, TagOf(1), 1, kStart);
+  auto open = OnTagged(steering, MakeOpening(1).flow, TagOf(1), 1, kStart);
   BOOST_CHECK(open.verdict == TagVerdict::kForward);
   auto view = MakeView(2);
   view.domains_out = {"north"};
@@ -228,8 +228,8 @@
     auto decision = OnOpening(steering, opening, now);
     if (decision.upstream == 2) {
       ++to_dead;
-      auto copy = OnOpening(steering, MakeOpening(10 + i, 1),
-                            now + milliseconds(200));
+      auto copy =
+          OnOpening(steering, MakeOpening(10 + i, 1), now + milliseconds(200));
       BOOST_TEST(copy.upstream != 2U);
       OnTagged(steering, opening.flow, copy.tag, 1, now + milliseconds(205));
     } else {
@@ -293,11 +293,10 @@
     auto decision = OnOpening(steering, opening, now);
     if (decision.upstream <= 6) {
       ++to_south;
-      auto copy = OnOpening(steering, MakeOpening(10 + i, 1),
-                            now + milliseconds(200));
+      auto copy =
+          OnOpening(steering, MakeOpening(10 + i, 1), now + milliseconds(200));
       if (copy.upstream >= 7) {
-        OnTagged(steering, opening.flow, copy.tag, 1,
-                 now + milliseconds(205));
+        OnTagged(steering, opening.flow, copy.tag, 1, now + milliseconds(205));
       }
     } else {
       OnTagged(steering, opening.flow, decision.tag, 1, now);
--- a/unittests/platform/codecs_test.cc
+++ b/unittests/platform/codecs_test.cc
@@ -186,8 +186,7 @@
       "7"));
   BOOST_REQUIRE(unknown.has_value());
   BOOST_TEST(unknown->faults.size() == 1U);
-  auto twice =
-      ReadConfig(MakeConfig(std::string(kRoute) + "," + kRoute, "7"));
+  auto twice = ReadConfig(MakeConfig(std::string(kRoute) + "," + kRoute, "7"));
   BOOST_REQUIRE(twice.has_value());
   BOOST_TEST(twice->faults.size() == 1U);
 }
@@ -197,14 +196,14 @@
   BOOST_CHECK(!ReadConfig(whole.substr(0, whole.size() - 1)));
   BOOST_CHECK(!ReadConfig(MakeConfig(kRoute, "\"7\"")));
   BOOST_CHECK(!ReadConfig("{}"));
-  BOOST_CHECK(!ReadConfig(MakeConfig(
-      R"({"name":"r","host":"here","prefix":"/8443/","timeoutMs":1,)"
-      R"("service":"s"})",
-      "7")));
-  BOOST_CHECK(!ReadConfig(MakeConfig(
-      R"({"name":"r","host":"1.1.1.1","prefix":"/x/","timeoutMs":1,)"
-      R"("service":"s"})",
-      "7")));
+  BOOST_CHECK(!ReadConfig(
+      MakeConfig(R"({"name":"r","host":"here","prefix":"/8443/","timeoutMs":1,)"
+                 R"("service":"s"})",
+                 "7")));
+  BOOST_CHECK(!ReadConfig(
+      MakeConfig(R"({"name":"r","host":"1.1.1.1","prefix":"/x/","timeoutMs":1,)"
+                 R"("service":"s"})",
+                 "7")));
 }
 
 }  // namespace acaciahold::platform
