Let a learner take a silent voter's place, and test the platform's whole path

Cause: a member that was gone for good stayed a voter for 10 s beside its successor. Ruled out: the successor's catching up, which takes 0.1 s. Change: while a voter is silent for 2 s, no learner is promoted beside it; with a learner at hand the silent one is taken out first.

--- a/include/acaciahold/Consensus/group.h
+++ b/include/acaciahold/Consensus/group.h
@@ -25,6 +25,9 @@
 // Silent for so long, a voter is taken out; above what a restart or a short
 // partition takes. It joins again when it comes back.
 inline constexpr Duration kMemberTimeout = std::chrono::seconds(10);
+// The same where a learner waits to take its place: the next loss may come as
+// soon as the learner has had time to catch up.
+inline constexpr Duration kReplaceTimeout = kElectionTimeoutMax;
 // A host that asked to join is forgotten when it stops asking.
 inline constexpr Duration kJoinTimeout = std::chrono::seconds(3);
 
--- a/lib/Consensus/group.cc
+++ b/lib/Consensus/group.cc
@@ -56,14 +56,23 @@
   return nullptr;
 }
 
+// Whether a learner that answers could take a voter's place.
+bool HasSpareLearner(const Replica& replica, Instant now) {
+  return std::any_of(
+      replica.members.begin(), replica.members.end(),
+      [&](const Member& m) { return !m.is_voter && IsHeard(replica, m, now); });
+}
+
 // A member that has not been heard for long.
 const Member* FindLost(const Replica& replica, Instant now) {
   size_t voters = std::count_if(replica.members.begin(), replica.members.end(),
                                 [](const Member& m) { return m.is_voter; });
+  bool has_spare = HasSpareLearner(replica, now);
   for (const auto& member : replica.members) {
-    bool is_silent = now >= HeardAt(replica, member, now) + kMemberTimeout;
-    bool may_leave = !member.is_voter || voters > kMinVoters;
-    if (is_silent && may_leave) {
+    bool is_replaced = member.is_voter && has_spare;
+    Duration timeout = is_replaced ? kReplaceTimeout : kMemberTimeout;
+    bool may_leave = !member.is_voter || has_spare || voters > kMinVoters;
+    if (may_leave && now >= HeardAt(replica, member, now) + timeout) {
       return &member;
     }
   }
--- a/lib/Consensus/replica.cc
+++ b/lib/Consensus/replica.cc
@@ -433,9 +433,20 @@
   return heard.empty() ? now : heard[Majority(replica) - 1];
 }
 
-// A learner that has the whole committed log becomes a voter.
+// Whether every voter was heard of late.
+bool AllVotersHeard(const Replica& replica, Instant now) {
+  return std::all_of(replica.members.begin(), replica.members.end(),
+                     [&](const Member& m) {
+                       auto it = replica.progress.find(m.id);
+                       return !m.is_voter || it == replica.progress.end() ||
+                              now < it->second.heard_at + kElectionTimeoutMax;
+                     });
+}
+
+// A learner that has the whole committed log becomes a voter. Beside a silent
+// voter it would only raise the majority; it takes that one's place instead.
 void PromoteLearners(Replica& replica, Instant now, Output& output) {
-  if (replica.members_index > replica.commit) {
+  if (replica.members_index > replica.commit || !AllVotersHeard(replica, now)) {
     return;
   }
   for (auto& member : replica.members) {
--- a/lib/Node/control_node.cc
+++ b/lib/Node/control_node.cc
@@ -33,6 +33,14 @@
             {"outcome", outcome}});
 }
 
+// Parses and decodes a stored document. Fails with FieldError.
+template <typename T>
+Result<T> DecodeText(std::string_view text,
+                     Result<T> (*decode)(const boost::json::value&)) {
+  BOOST_LEAF_AUTO(document, json::Parse(text));
+  return decode(document);
+}
+
 }  // namespace
 
 ControlNode::ControlNode(asio::io_context& io, NodeSettings settings)
@@ -470,9 +478,7 @@
 }
 
 void ControlNode::Apply(const consensus::LogEntry& entry) {
-  auto document = json::Parse(entry.payload);
-  auto command = document ? catalog::CommandFromJson(*document)
-                          : Result<catalog::Command>(document.error());
+  auto command = DecodeText(entry.payload, catalog::CommandFromJson);
   if (!command) {
     LogEvent(Weight::kNotable, "command_unreadable", {{"index", entry.index}});
     return;
@@ -507,9 +513,7 @@
   if (data.empty()) {
     return;
   }
-  auto document = json::Parse(data);
-  auto state = document ? catalog::StateFromJson(*document)
-                        : Result<catalog::State>(document.error());
+  auto state = DecodeText(data, catalog::StateFromJson);
   if (!state) {
     LogEvent(Weight::kNotable, "snapshot_unreadable", {{"bytes", data.size()}});
     return;
--- /dev/null
+++ b/test/standins/packet_world.h
@@ -0,0 +1,203 @@
+// Stand-ins for what the platform brings: upstreams and callers that speak its
+// packets, a fabric that sprays them over entry hosts, and an operator. All run
+// on one thread, in the caller's io_context.
+
+#ifndef ACACIAHOLD_TEST_STANDINS_PACKET_WORLD_H_
+#define ACACIAHOLD_TEST_STANDINS_PACKET_WORLD_H_
+
+#include <array>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "acaciahold/Http/client.h"
+#include "acaciahold/Support/address.h"
+#include "acaciahold/Support/time.h"
+#include "packet_head.h"
+
+namespace acaciahold::standins {
+
+// A packet as the two ends of a flow write it.
+struct PacketFields {
+  steering::TaggedFlow flow;  // Whichever way the packet goes.
+  bool is_from_caller = true;
+  uint8_t flags = 0;
+  steering::Tag tag = 0;
+  uint32_t sequence = 0;
+  uint32_t acknowledged = 0;
+  uint16_t data_bytes = 0;
+  uint32_t sum = 1;  // 0 in resets of the system's own.
+};
+
+std::vector<std::byte> EncodePacket(const PacketFields& fields);
+std::optional<PacketFields> DecodeFromUpstream(
+    std::span<const std::byte> packet);
+
+// An upstream process: announces itself, takes flows and answers requests.
+class PacketUpstream {
+ public:
+  struct Options {
+    uint64_t id = 0;
+    std::string service;
+    std::string failure_domain;
+    Endpoint endpoint;
+    uint16_t callers_port = 0;
+    int64_t born_ms = 0;
+    std::vector<Endpoint> control;  // Where it announces itself.
+    std::chrono::milliseconds interval{300};
+  };
+
+  PacketUpstream(boost::asio::io_context& io,
+                 http::Client& client,
+                 Options options);
+
+  void Start();
+  void Drain() { is_draining_ = true; }
+  void Leave();  // Says so, and is gone.
+  void Crash();  // Is gone without a word.
+
+  const Options& options() const { return options_; }
+  bool is_running() const { return is_running_; }
+  // When a control host acknowledged that it drains.
+  std::optional<Instant> drain_acknowledged_at() const { return drain_ack_; }
+
+  uint64_t openings() const { return openings_; }
+  uint64_t requests() const { return requests_; }
+  // Packets for other upstreams, and packets of flows that it does not hold.
+  uint64_t misdirected() const { return misdirected_; }
+  uint64_t foreign_flows() const { return foreign_flows_; }
+  // Openings later than this after the acknowledgement of draining.
+  uint64_t OpeningsAfterDrain(Duration slack) const;
+
+ private:
+  boost::asio::awaitable<void> Announce(std::shared_ptr<bool> lives);
+  boost::asio::awaitable<void> Receive(std::shared_ptr<bool> lives);
+  void OnPacket(std::span<const std::byte> datagram);
+  void Reply(const platform::PacketHead& head,
+             uint8_t flags,
+             uint32_t acknowledged,
+             uint16_t data_bytes);
+  std::string MakeAnnouncement();
+
+  boost::asio::io_context& io_;
+  http::Client& client_;
+  Options options_;
+  boost::asio::ip::udp::socket socket_;
+  std::shared_ptr<bool> lives_;
+  bool is_running_ = false;
+  bool is_draining_ = false;
+  uint64_t sequence_ = 0;
+  size_t control_index_ = 0;
+  std::optional<Instant> drain_ack_;
+  std::set<std::pair<Endpoint, Endpoint>> flows_;  // Caller and listener.
+  std::vector<Instant> late_openings_;             // While draining.
+  uint64_t openings_ = 0;
+  uint64_t requests_ = 0;
+  uint64_t misdirected_ = 0;
+  uint64_t foreign_flows_ = 0;
+};
+
+// The fabric: asks entry hosts whether they are ready, and sprays packets over
+// those that are, or over all where fewer than half are.
+class Fabric {
+ public:
+  struct EntryHost {
+    Endpoint packets;
+    Endpoint ready;
+    int misses = 2;
+  };
+
+  Fabric(boost::asio::io_context& io,
+         http::Client& client,
+         std::vector<EntryHost> hosts,
+         uint64_t seed);
+
+  void Start();
+  Endpoint Pick();
+  size_t CountReady() const;
+
+ private:
+  boost::asio::awaitable<void> Probe(size_t host);
+
+  boost::asio::io_context& io_;
+  http::Client& client_;
+  std::vector<EntryHost> hosts_;
+  std::mt19937_64 random_;
+};
+
+struct CallerCounts {
+  uint64_t opened = 0;
+  uint64_t answered = 0;
+  uint64_t reset_while_open = 0;  // By the system.
+  uint64_t reset_by_upstream = 0;
+  uint64_t refused = 0;   // Reset by the system before opening.
+  uint64_t unopened = 0;  // No answer to three openings.
+  uint64_t given_up = 0;  // No answer to a request.
+};
+
+// Callers at one address: keeps so many long flows open with requests on them,
+// and opens short flows of one request one after the other.
+class PacketCallers {
+ public:
+  struct Options {
+    Endpoint own;  // Where they receive.
+    Endpoint listener;
+    int long_flows = 0;
+    int short_flows = 0;  // Open at the same time.
+    uint64_t seed = 1;
+  };
+
+  PacketCallers(boost::asio::io_context& io, Fabric& fabric, Options options);
+
+  void Start();
+  void StopOpening() { is_opening_ = false; }
+  const CallerCounts& counts() const { return counts_; }
+
+ private:
+  enum class Phase { kOpening, kOpen };
+  struct Flow {
+    bool is_long = false;
+    Phase phase = Phase::kOpening;
+    uint32_t first_sequence = 0;
+    uint32_t upstream_sequence = 0;
+    steering::Tag tag = 0;
+    uint32_t copies = 0;
+    uint32_t requests = 0;
+    bool is_waiting = false;  // For an answer.
+    Instant started_at;       // Of the opening, or of the request.
+    Instant due_at;           // Next copy, repetition or request.
+    Duration repeat_after{};
+  };
+
+  boost::asio::awaitable<void> Receive();
+  void Tick();
+  void Open(bool is_long);
+  void OnDue(uint16_t port, Flow& flow, Instant now);
+  void OnPacket(std::span<const std::byte> packet);
+  void Send(uint16_t port, const Flow& flow, uint8_t flags, uint16_t data);
+  void SendRequest(uint16_t port, Flow& flow, Instant now);
+
+  boost::asio::io_context& io_;
+  Fabric& fabric_;
+  Options options_;
+  boost::asio::ip::udp::socket socket_;
+  boost::asio::steady_timer timer_;
+  std::mt19937_64 random_;
+  std::map<uint16_t, Flow> flows_;  // By the caller's port.
+  uint16_t next_port_ = 1'024;
+  bool is_opening_ = true;
+  CallerCounts counts_;
+};
+
+}  // namespace acaciahold::standins
+
+#endif  // ACACIAHOLD_TEST_STANDINS_PACKET_WORLD_H_
--- a/unittests/Consensus/group_test.cc
+++ b/unittests/Consensus/group_test.cc
@@ -116,6 +116,30 @@
   BOOST_TEST(!NextMembers(small, joiners, later).has_value());
 }
 
+// The successor of a lost member takes its place before the next loss, rather
+// than raising the majority beside it.
+BOOST_AUTO_TEST_CASE(ALearnerTakesASilentVotersPlace) {
+  auto leader = MakeLeader(3);
+  Answer(leader, 2, 0, kStart);
+  auto members = leader.members;
+  members.push_back({9, LinkOf(9), false, 109});
+  ProposeMembers(leader, members, kStart);
+  Answer(leader, 2, 0, kStart);
+  auto later = kStart + kReplaceTimeout;
+  Answer(leader, 2, 0, later);
+  Answer(leader, 9, 0, later);
+  BOOST_TEST(!IsVoter(leader, 9));
+  Joiners joiners;
+  auto without = NextMembers(leader, joiners, later);
+  BOOST_REQUIRE(without.has_value());
+  BOOST_REQUIRE(without->size() == 3U);
+  BOOST_TEST((*without)[1].id == 2U);
+  ProposeMembers(leader, *without, later);
+  Answer(leader, 2, 0, later);
+  Answer(leader, 9, 0, later);
+  BOOST_TEST(IsVoter(leader, 9));
+}
+
 BOOST_AUTO_TEST_CASE(OnlyALeaderChangesMembers) {
   auto replica = MakeLeader(3);
   replica.role = Role::kFollower;
