Share what a cold upstream bears among all hosts, and serve metrics

Cause: a service's limit for cold upstreams was known and not kept; on-call engineers had log lines and no counters. Ruled out: one owner for each cold upstream, which must be found again whenever hosts come and go while the upstream is cold for two seconds. Change: each entry host uses an equal part, by a bucket of one token that starts empty; control hosts count entry hosts, lost ones for 60 s more, and a host without a feed uses none. Tests: HostsTogetherKeepToWhatAColdUpstreamBears with nine hosts, and others.

--- a/include/acaciahold/Node/control_node.h
+++ b/include/acaciahold/Node/control_node.h
@@ -30,6 +30,9 @@
 // How often other control hosts are told who was heard again; well below the
 // interval of announcements.
 inline constexpr std::chrono::milliseconds kRefreshInterval{400};
+// A lost entry host is counted for so long. A host that others miss may be cut
+// off with them, and goes on with the part that it was told.
+inline constexpr Duration kEntryHostLease = std::chrono::seconds(60);
 // A host without a leader asks to join this often.
 inline constexpr Duration kJoinInterval = std::chrono::milliseconds(500);
 
@@ -59,6 +62,10 @@
   // The links of the leader, where it is another host and is known.
   std::optional<Endpoint> OtherLeader() const;
   const catalog::State& state() const { return state_; }
+  const consensus::Replica& replica() const { return group_->replica(); }
+  const directory::Directory& directory() const { return directory_; }
+  // Links that control hosts, or entry hosts, have open here.
+  size_t CountPeers(bool is_control) const;
 
  private:
   // A link that another host opened.
@@ -84,6 +91,8 @@
   Hosts KnownHosts() const;
   bool IsCurrent(Instant now) const;
   void TellStanding(Instant now);
+  void TellEntryHosts(Instant now);
+  EntryHosts FedEntryHosts() const;
 
   void SendToGroup(const consensus::Message& message);
   void SendToControlHosts(const Message& message);
@@ -117,6 +126,11 @@
   Hosts heard_hosts_;  // From other control hosts.
   // Of control hosts that opened a link, and of this one.
   std::map<Endpoint, std::string> failure_domains_;
+  // Entry hosts of the whole deployment, each counted until its deadline.
+  std::map<std::string, Instant> entry_hosts_;
+  std::vector<std::string> told_entry_hosts_;  // To other control hosts.
+  uint32_t told_entry_count_ = 0;
+  Instant retell_deadline_;
   bool told_current_ = false;  // The standing that entry hosts were told.
   // Whether the directory has what other hosts knew when this one started.
   bool is_complete_ = false;
--- a/include/acaciahold/Node/entry_node.h
+++ b/include/acaciahold/Node/entry_node.h
@@ -53,6 +53,7 @@
   bool has_feed() const;
 
   steering::TagSteering& steering() { return steering_; }
+  const steering::TagSteering& steering() const { return steering_; }
 
  private:
   struct Feed {
@@ -60,8 +61,9 @@
     std::shared_ptr<link::Connector> connector;  // Null: the slot is free.
     std::vector<ControlHost> hosts;              // As this feed tells.
     bool is_connected = false;
-    bool is_current = false;  // As this feed tells of itself.
-    Instant lost_deadline;    // Not connected: the feed counts until then.
+    bool is_current = false;   // As this feed tells of itself.
+    uint32_t entry_hosts = 0;  // As this feed counts.
+    Instant lost_deadline;     // Not connected: the feed counts until then.
   };
   // One bit each in steering::FeedMask.
   static constexpr uint32_t kMaxFeeds = 32;
@@ -80,6 +82,7 @@
   bool IsCutOff() const;
   void CheckReach(Instant now);
   void CheckPlan(Instant now);
+  void CountEntryHosts();
   std::set<ControlHost> KnownHosts() const;
 
   boost::asio::io_context& io_;
--- a/include/acaciahold/Node/messages.h
+++ b/include/acaciahold/Node/messages.h
@@ -67,6 +67,17 @@
   bool is_current = false;
 };
 
+// Control hosts to each other: the entry hosts that the sender feeds.
+struct EntryHosts {
+  std::vector<std::string> names;
+};
+
+// To entry hosts: how many entry hosts there are, those counted that were lost
+// not long ago.
+struct EntryCount {
+  uint32_t count = 0;
+};
+
 // To entry hosts: all that this control host knows has been sent.
 struct Complete {};
 
@@ -78,6 +89,8 @@
                              Silences,
                              Hosts,
                              Standing,
+                             EntryHosts,
+                             EntryCount,
                              Complete,
                              catalog::View>;
 
--- a/include/acaciahold/Steering/tag_steering.h
+++ b/include/acaciahold/Steering/tag_steering.h
@@ -10,6 +10,7 @@
 #ifndef ACACIAHOLD_STEERING_TAG_STEERING_H_
 #define ACACIAHOLD_STEERING_TAG_STEERING_H_
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -61,6 +62,8 @@
   kNoUpstream,  // No upstream of the service may take the flow.
   kUnknownTag,  // Not known here; the news may still be on its way.
 };
+inline constexpr size_t kTagReasons =
+    static_cast<size_t>(TagReason::kUnknownTag) + 1;
 
 struct TagDecision {
   TagVerdict verdict = TagVerdict::kDrop;
@@ -96,11 +99,32 @@
   Instant avoid_deadline;
 };
 
+// This host's part of the new flows that a cold upstream bears: one flow for
+// each whole token. Starts empty, so that hosts that learn of the upstream at
+// the same time don't all send at once.
+struct ColdGate {
+  double tokens = 0;  // At most 1.
+  Instant counted_at;
+};
+
+// Upper bounds of the histogram of answers, in seconds.
+inline constexpr std::array<double, 8> kAnswerBounds{0.005, 0.01, 0.02, 0.05,
+                                                     0.1,   0.2,  0.45, 1.0};
+
+// What has happened, for metrics.
+struct TagCounts {
+  std::array<uint64_t, kTagReasons> decisions{};
+  std::array<uint64_t, kAnswerBounds.size() + 1> answers{};
+  double answer_seconds = 0;
+  uint64_t unanswered = 0;
+};
+
 struct TagUpstream {
   directory::UpstreamId id = 0;
   Tag tag = 0;
   PlacementCandidate candidate;
   Reachability reachability;
+  ColdGate cold_gate;
   uint32_t silent_feeds = 0;  // Bit i: feed i has not heard of it.
 };
 
@@ -128,6 +152,10 @@
   // upstreams are likely to be as well.
   bool is_cut_off = false;
   std::map<std::string, Reachability> domains;
+  // Entry hosts that share what a cold upstream bears; 0: none may be used by
+  // this host, since others may have been told of fewer.
+  uint32_t entry_hosts = 0;
+  TagCounts counts;
   std::map<std::string, Rotation> rotations;  // One for each service.
   // Invariant: one for each entry of `directory`.
   std::map<directory::UpstreamId, TagUpstream> upstreams;
@@ -144,6 +172,10 @@
 
 TagSteering MakeTagSteering(std::string failure_domain, uint64_t seed);
 
+// New flows that one cold upstream of the service takes in a second; 0: no
+// limit.
+double ColdLimit(const TagSteering& steering, std::string_view service);
+
 // Takes in a newer view; returns false where it is not newer.
 bool OnView(TagSteering& steering, catalog::View view);
 
--- a/lib/Host/host_metrics.cc
+++ b/lib/Host/host_metrics.cc
@@ -2,18 +2,13 @@
 
 #include "host_metrics.h"
 
-#include <vector>
-
-#include <prometheus/metric_family.h>
-#include <prometheus/text_serializer.h>
-
+#include "acaciahold/Observe/metric_text.h"
 #include "acaciahold/Packet/inner_packet.h"
 
 namespace acaciahold::host {
 namespace {
 
-using prometheus::ClientMetric;
-using prometheus::MetricFamily;
+using observe::Families;
 using prometheus::MetricType;
 
 constexpr size_t kReasons =
@@ -23,34 +18,6 @@
 constexpr size_t kRefusals =
     static_cast<size_t>(request::Refusal::kShutdown) + 1;
 
-class Families {
- public:
-  void Begin(std::string name,
-             std::string help,
-             MetricType type = MetricType::Counter) {
-    families_.push_back({std::move(name), std::move(help), type, {}});
-  }
-
-  void Add(uint64_t value,
-           std::string_view label = "",
-           std::string_view label_value = "") {
-    ClientMetric metric;
-    if (!label.empty()) {
-      metric.label.push_back({std::string(label), std::string(label_value)});
-    }
-    metric.counter.value = static_cast<double>(value);
-    metric.gauge.value = static_cast<double>(value);
-    families_.back().metric.push_back(std::move(metric));
-  }
-
-  std::string Text() const {
-    return prometheus::TextSerializer().Serialize(families_);
-  }
-
- private:
-  std::vector<MetricFamily> families_;
-};
-
 void AddEntry(Families& families, const entry::Entry& entry) {
   const auto& c = entry.counters;
   families.Begin("acaciahold_packets_forwarded_total",
--- a/lib/Node/control_node.cc
+++ b/lib/Node/control_node.cc
@@ -110,6 +110,7 @@
   CheckSilence(now);
   AskToJoin(now);
   TellStanding(now);
+  TellEntryHosts(now);
   group_->StoreCommitHint();
   if (std::exchange(has_unstored_news_, false)) {
     group_->StoreNotes(Encode(WholeDirectory(now)));
@@ -230,6 +231,8 @@
   Instant now = ReadClock();
   peer.session->Send(Encode(KnownHosts()));
   peer.session->Send(Encode(Standing{told_current_}));
+  TellEntryHosts(now);
+  peer.session->Send(Encode(EntryCount{told_entry_count_}));
   if (state_.view.revision > 0) {
     peer.session->Send(Encode(state_.view));
   }
@@ -255,6 +258,11 @@
     group_->OnMessage(log->message);
   } else if (const auto* join = std::get_if<JoinMessage>(&message)) {
     OnJoin(*join);
+  } else if (const auto* entries = std::get_if<EntryHosts>(&message)) {
+    for (const auto& name : entries->names) {
+      entry_hosts_[name] = ReadClock() + kEntryHostLease;
+    }
+    TellEntryHosts(ReadClock());
   } else if (const auto* records = std::get_if<Records>(&message)) {
     OnRecords(*records);
   } else if (const auto* refreshes = std::get_if<Refreshes>(&message)) {
@@ -327,6 +335,7 @@
   connector.Send(Encode(
       Hello{settings_.name, true, settings_.link(), settings_.failure_domain}));
   connector.Send(Encode(WholeDirectory(ReadClock())));
+  connector.Send(Encode(FedEntryHosts()));
   if (group_->Leader()) {
     connector.Send(Encode(KnownHosts()));
   }
@@ -349,6 +358,44 @@
          now < replica.current_as_of + consensus::kElectionTimeoutMin;
 }
 
+EntryHosts ControlNode::FedEntryHosts() const {
+  EntryHosts fed;
+  for (const auto& [id, peer] : peers_) {
+    if (!peer.hello.name.empty() && !peer.hello.is_control) {
+      fed.names.push_back(peer.hello.name);
+    }
+  }
+  return fed;
+}
+
+// Counts entry hosts, and tells the others of those that are fed here.
+void ControlNode::TellEntryHosts(Instant now) {
+  auto fed = FedEntryHosts();
+  for (const auto& name : fed.names) {
+    entry_hosts_[name] = now + kEntryHostLease;
+  }
+  std::erase_if(entry_hosts_, [&](const auto& it) { return now >= it.second; });
+  std::sort(fed.names.begin(), fed.names.end());
+  bool is_due = fed.names != told_entry_hosts_ || now >= retell_deadline_;
+  if (is_due) {
+    told_entry_hosts_ = fed.names;
+    retell_deadline_ = now + kEntryHostLease / 3;
+    SendToControlHosts(fed);
+  }
+  auto count = static_cast<uint32_t>(entry_hosts_.size());
+  if (count != told_entry_count_) {
+    told_entry_count_ = count;
+    SendToEntryHosts(EntryCount{count});
+  }
+}
+
+size_t ControlNode::CountPeers(bool is_control) const {
+  return std::count_if(peers_.begin(), peers_.end(), [&](const auto& it) {
+    const auto& hello = it.second.hello;
+    return !hello.name.empty() && hello.is_control == is_control;
+  });
+}
+
 void ControlNode::TellStanding(Instant now) {
   if (IsCurrent(now) == told_current_) {
     return;
--- a/lib/Node/entry_node.cc
+++ b/lib/Node/entry_node.cc
@@ -93,6 +93,18 @@
   }
 }
 
+// The most that a connected feed counts. A host without a feed uses no part of
+// what cold upstreams bear.
+void EntryNode::CountEntryHosts() {
+  uint32_t count = 0;
+  for (const auto& feed : feeds_) {
+    if (feed.is_connected) {
+      count = std::max(count, feed.entry_hosts);
+    }
+  }
+  steering_.entry_hosts = count;
+}
+
 void EntryNode::CheckReach(Instant now) {
   bool is_cut_off = is_complete_ && IsCutOff();
   if (is_cut_off != steering_.is_cut_off) {
@@ -155,6 +167,7 @@
 void EntryNode::OnClose(uint32_t feed) {
   feeds_[feed].is_connected = false;
   feeds_[feed].is_current = false;
+  CountEntryHosts();
   feeds_[feed].lost_deadline = ReadClock() + kFeedTimeout;
   LogEvent(Weight::kNotable, "feed_lost",
            {{"link", FormatEndpoint(feeds_[feed].to)}});
@@ -184,6 +197,9 @@
     UpdateFeeds();
   } else if (const auto* standing = std::get_if<Standing>(&message)) {
     feeds_[feed].is_current = standing->is_current;
+  } else if (const auto* entries = std::get_if<EntryCount>(&message)) {
+    feeds_[feed].entry_hosts = entries->count;
+    CountEntryHosts();
   } else if (std::get_if<Complete>(&message)) {
     steering::OnFeedComplete(steering_, feed);
     is_complete_ = true;
--- a/lib/Node/messages.cc
+++ b/lib/Node/messages.cc
@@ -73,6 +73,18 @@
   return {{"kind", "standing"}, {"is_current", message.is_current}};
 }
 
+value EncodePart(const EntryHosts& message) {
+  array names;
+  for (const auto& name : message.names) {
+    names.emplace_back(name);
+  }
+  return {{"kind", "entry_hosts"}, {"names", std::move(names)}};
+}
+
+value EncodePart(const EntryCount& message) {
+  return {{"kind", "entry_count"}, {"count", message.count}};
+}
+
 value EncodePart(const Complete&) {
   return {{"kind", "complete"}};
 }
@@ -141,6 +153,14 @@
   return message;
 }
 
+Message DecodeEntryHosts(const object& from) {
+  EntryHosts message;
+  for (const auto& it : from.at("names").as_array()) {
+    message.names.emplace_back(it.as_string());
+  }
+  return message;
+}
+
 Message DecodeObject(const object& from) {
   auto kind = TextAt(from, "kind");
   if (kind == "hello") {
@@ -168,6 +188,12 @@
   if (kind == "standing") {
     return Standing{from.at("is_current").as_bool()};
   }
+  if (kind == "entry_hosts") {
+    return DecodeEntryHosts(from);
+  }
+  if (kind == "entry_count") {
+    return EntryCount{NumberAt<uint32_t>(from, "count")};
+  }
   if (kind == "complete") {
     return Complete{};
   }
--- /dev/null
+++ b/lib/Observe/metric_text.cc
@@ -0,0 +1,51 @@
+// Builds metric families.
+
+#include "acaciahold/Observe/metric_text.h"
+
+#include <limits>
+
+#include <prometheus/text_serializer.h>
+
+namespace acaciahold::observe {
+
+using prometheus::ClientMetric;
+
+void Families::Begin(std::string name,
+                     std::string help,
+                     prometheus::MetricType type) {
+  families_.push_back({std::move(name), std::move(help), type, {}});
+}
+
+void Families::Add(uint64_t value,
+                   std::string_view label,
+                   std::string_view label_value) {
+  ClientMetric metric;
+  if (!label.empty()) {
+    metric.label.push_back({std::string(label), std::string(label_value)});
+  }
+  metric.counter.value = static_cast<double>(value);
+  metric.gauge.value = static_cast<double>(value);
+  families_.back().metric.push_back(std::move(metric));
+}
+
+void Families::AddHistogram(std::span<const double> bounds,
+                            std::span<const uint64_t> counts,
+                            double sum) {
+  ClientMetric metric;
+  uint64_t total = 0;
+  for (size_t i = 0; i < counts.size(); ++i) {
+    total += counts[i];
+    double bound =
+        i < bounds.size() ? bounds[i] : std::numeric_limits<double>::infinity();
+    metric.histogram.bucket.push_back({total, bound});
+  }
+  metric.histogram.sample_count = total;
+  metric.histogram.sample_sum = sum;
+  families_.back().metric.push_back(std::move(metric));
+}
+
+std::string Families::Text() const {
+  return prometheus::TextSerializer().Serialize(families_);
+}
+
+}  // namespace acaciahold::observe
--- a/lib/Steering/tag_steering.cc
+++ b/lib/Steering/tag_steering.cc
@@ -66,6 +66,22 @@
   return is_doubtful ? Rank::kDoubtful : Rank::kGood;
 }
 
+// Whether the host's part of what a cold upstream bears has room for one flow.
+bool HasColdRoom(const TagSteering& steering,
+                 TagUpstream& upstream,
+                 double limit,
+                 Instant now) {
+  auto& gate = upstream.cold_gate;
+  if (gate.counted_at == Instant()) {
+    gate.counted_at = now;
+  }
+  double seconds = std::chrono::duration<double>(now - gate.counted_at).count();
+  double part = steering.entry_hosts > 0 ? limit / steering.entry_hosts : 0;
+  gate.tokens = std::min(1.0, gate.tokens + std::max(0.0, seconds) * part);
+  gate.counted_at = now;
+  return gate.tokens >= 1;
+}
+
 // Fills the scratch lists with the service's upstreams of the best rank.
 void CollectCandidates(TagSteering& steering,
                        std::string_view service,
@@ -75,6 +91,7 @@
   candidates.clear();
   upstreams.clear();
   auto best = Rank::kDoubtful;
+  double cold_limit = ColdLimit(steering, service);
   for (auto& [id, entry] : steering.directory.entries) {
     if (entry.record.service != service) {
       continue;
@@ -84,12 +101,17 @@
     if (rank > best || IsSuperseded(steering, entry.record)) {
       continue;
     }
+    upstream.candidate.is_cold = now < entry.cold_deadline;
+    bool is_full = upstream.candidate.is_cold && cold_limit > 0 &&
+                   !HasColdRoom(steering, upstream, cold_limit, now);
+    if (is_full) {
+      continue;
+    }
     if (rank < best) {
       candidates.clear();
       upstreams.clear();
       best = rank;
     }
-    upstream.candidate.is_cold = now < entry.cold_deadline;
     candidates.push_back(&upstream.candidate);
     upstreams.push_back(&upstream);
   }
@@ -142,10 +164,21 @@
 }
 
 void OnUnanswered(TagSteering& steering, TagUpstream& upstream, Instant now) {
+  ++steering.counts.unanswered;
   CountUnanswered(upstream.reachability, kMaxUnanswered, now);
   CountUnanswered(DomainOf(steering, upstream), kMaxUnansweredInDomain, now);
 }
 
+void CountAnswer(TagCounts& counts, Duration time) {
+  double seconds = std::chrono::duration<double>(time).count();
+  size_t i = 0;
+  while (i < kAnswerBounds.size() && seconds > kAnswerBounds[i]) {
+    ++i;
+  }
+  ++counts.answers[i];
+  counts.answer_seconds += seconds;
+}
+
 // Lets one opening try what did not answer before; others wait for its outcome.
 void HoldBackOthers(Reachability& reachability, uint32_t most, Instant now) {
   if (reachability.unanswered >= most && now >= reachability.avoid_deadline) {
@@ -187,6 +220,9 @@
     return {TagVerdict::kReset, TagReason::kNoUpstream, 0, {}, 0};
   }
   auto& upstream = *upstreams[chosen];
+  if (upstream.candidate.is_cold) {
+    upstream.cold_gate.tokens -= 1;
+  }
   HoldBackOthers(upstream.reachability, kMaxUnanswered, now);
   HoldBackOthers(DomainOf(steering, upstream), kMaxUnansweredInDomain, now);
   return Forward(steering, upstream, TagReason::kPlaced);
@@ -217,6 +253,7 @@
   JoinRotation(steering.rotations[record.service], upstream.candidate,
                jitter(steering.random));
   upstream.candidate.load = {};
+  upstream.cold_gate = {};
   upstream.reachability = {};
 }
 
@@ -235,6 +272,15 @@
   return steering;
 }
 
+double ColdLimit(const TagSteering& steering, std::string_view service) {
+  for (const auto& it : steering.view.catalog.services) {
+    if (it.name == service) {
+      return it.cold_flows_per_second;
+    }
+  }
+  return 0;
+}
+
 bool OnView(TagSteering& steering, catalog::View view) {
   if (view.revision <= steering.view.revision) {
     return false;
@@ -315,9 +361,11 @@
   }
 }
 
-TagDecision OnOpening(TagSteering& steering,
-                      const Opening& opening,
-                      Instant now) {
+namespace {
+
+TagDecision DecideOpening(TagSteering& steering,
+                          const Opening& opening,
+                          Instant now) {
   if (steering.view.catalog.version == 0) {
     return {};
   }
@@ -349,11 +397,11 @@
   return decision;
 }
 
-TagDecision OnTagged(TagSteering& steering,
-                     const TaggedFlow& flow,
-                     Tag tag,
-                     uint32_t requests,
-                     Instant now) {
+TagDecision DecideTagged(TagSteering& steering,
+                         const TaggedFlow& flow,
+                         Tag tag,
+                         uint32_t requests,
+                         Instant now) {
   auto* upstream = FindTag(steering, tag);
   if (!upstream) {
     return {TagVerdict::kDrop, TagReason::kUnknownTag, 0, {}, tag};
@@ -363,6 +411,7 @@
   if (recent.flow_hash == hash && !recent.is_answered) {
     recent.is_answered = true;
     OnAnswered(steering, *upstream);
+    CountAnswer(steering.counts, now - recent.placed_at);
   }
   if (requests > 0) {
     CountLoad(upstream->candidate.load, requests, now);
@@ -370,6 +419,30 @@
   return Forward(steering, *upstream, TagReason::kByTag);
 }
 
+void Count(TagSteering& steering, const TagDecision& decision) {
+  ++steering.counts.decisions[static_cast<size_t>(decision.reason)];
+}
+
+}  // namespace
+
+TagDecision OnOpening(TagSteering& steering,
+                      const Opening& opening,
+                      Instant now) {
+  auto decision = DecideOpening(steering, opening, now);
+  Count(steering, decision);
+  return decision;
+}
+
+TagDecision OnTagged(TagSteering& steering,
+                     const TaggedFlow& flow,
+                     Tag tag,
+                     uint32_t requests,
+                     Instant now) {
+  auto decision = DecideTagged(steering, flow, tag, requests, now);
+  Count(steering, decision);
+  return decision;
+}
+
 double RemotePart(const TagSteering& steering, Instant now) {
   std::map<std::string_view, double> load;
   std::set<std::string_view> local;
--- a/unittests/Node/messages_test.cc
+++ b/unittests/Node/messages_test.cc
@@ -76,6 +76,8 @@
   BOOST_CHECK(RoundTrip(hosts).hosts == hosts.hosts);
   BOOST_TEST(RoundTrip(Standing{true}).is_current);
   RoundTrip(Complete{});
+  BOOST_TEST(RoundTrip(EntryHosts{{"e1", "e2"}}).names[1] == "e2");
+  BOOST_TEST(RoundTrip(EntryCount{7}).count == 7U);
   catalog::View view;
   view.revision = 4;
   BOOST_TEST(RoundTrip(view).revision == 4U);
--- a/unittests/Steering/tag_steering_test.cc
+++ b/unittests/Steering/tag_steering_test.cc
@@ -2,7 +2,9 @@
 
 #include "acaciahold/Steering/tag_steering.h"
 
+#include <algorithm>
 #include <map>
+#include <vector>
 
 #include <boost/test/unit_test.hpp>
 
@@ -323,6 +325,64 @@
   BOOST_TEST(counts[4] + counts[5] + counts[6] == 50);
 }
 
+// Many hosts learn of a cold upstream at once while new flows press: all of
+// them together keep to what it bears, in any second.
+BOOST_AUTO_TEST_CASE(HostsTogetherKeepToWhatAColdUpstreamBears) {
+  constexpr uint32_t kHosts = 9;
+  constexpr double kLimit = 6;
+  std::vector<TagSteering> hosts(kHosts);
+  for (auto& steering : hosts) {
+    steering = MakeSteering();
+    auto view = MakeView(2);
+    view.catalog.services[0].cold_flows_per_second = kLimit;
+    OnView(steering, view);
+    steering.entry_hosts = kHosts;
+    auto cold = MakeRecord(8, "north");
+    cold.cold_ms = 10'000;
+    OnRecord(steering, 0, cold, kStart);
+  }
+  std::vector<Instant> sent;
+  for (uint32_t step = 0; step < 1'000; ++step) {
+    Instant now = kStart + milliseconds(10 * step);
+    for (uint32_t i = 0; i < kHosts; ++i) {
+      auto opening = MakeOpening(10'000 * i + step);
+      auto decision = OnOpening(hosts[i], opening, now);
+      OnTagged(hosts[i], opening.flow, decision.tag, 1, now);
+      if (decision.upstream == 8) {
+        sent.push_back(now);
+      }
+    }
+  }
+  BOOST_TEST(sent.size() > 30U);  // It is used.
+  for (auto first : sent) {
+    auto in_second = std::count_if(sent.begin(), sent.end(), [&](Instant at) {
+      return at >= first && at < first + std::chrono::seconds(1);
+    });
+    // Each host may have one token saved.
+    BOOST_TEST(in_second <= static_cast<int>(kLimit * 1.5 + 5));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AHostThatIsNotCountedSparesColdUpstreams) {
+  auto steering = MakeSteering();
+  auto view = MakeView(2);
+  view.catalog.services[0].cold_flows_per_second = 100;
+  OnView(steering, view);
+  auto cold = MakeRecord(8, "north");
+  cold.cold_ms = 10'000;
+  OnRecord(steering, 0, cold, kStart);
+  BOOST_TEST(OpenFlows(steering, 10, 100, kStart)[8] == 0);
+}
+
+BOOST_AUTO_TEST_CASE(DecisionsAndAnswersAreCounted) {
+  auto steering = MakeSteering();
+  OpenFlows(steering, 10, 4, kStart);
+  const auto& counts = steering.counts;
+  BOOST_TEST(counts.decisions[static_cast<size_t>(TagReason::kPlaced)] == 4U);
+  BOOST_TEST(counts.decisions[static_cast<size_t>(TagReason::kByTag)] == 4U);
+  BOOST_TEST(counts.answers[0] == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(UpstreamsThatLeftLongAgoAreForgotten) {
   auto steering = MakeSteering();
   auto gone = MakeRecord(2, "north");
