--- a/include/acaciahold/Node/entry_node.h
+++ b/include/acaciahold/Node/entry_node.h
@@ -60,6 +60,7 @@
     Endpoint to;
     std::shared_ptr<link::Connector> connector;  // Null: the slot is free.
     std::vector<ControlHost> hosts;              // As this feed tells.
+    std::string failure_domain;  // Of the control host; empty: not known.
     bool is_connected = false;
     bool is_current = false;   // As this feed tells of itself.
     uint32_t entry_hosts = 0;  // As this feed counts.
@@ -79,7 +80,7 @@
   void Tick();
   void DropLostFeeds(Instant now);
   bool IsCurrent(const Feed& feed) const;
-  bool IsCutOff() const;
+  bool IsOutOfReach() const;
   void CheckReach(Instant now);
   void CheckPlan(Instant now);
   void CountEntryHosts();
--- a/include/acaciahold/Node/feed_choice.h
+++ b/include/acaciahold/Node/feed_choice.h
@@ -42,6 +42,16 @@
                                std::string_view own_domain,
                                uint64_t seed);
 
+// A followed control host, as far as reach goes.
+struct FeedReach {
+  std::string failure_domain;  // Empty where not known.
+  bool is_heard = false;       // Anything came from it of late.
+};
+
+// Whether this host hears from no other failure domain. Control hosts that have
+// lost each other, but are heard, cut nobody off.
+bool IsCutOff(std::span<const FeedReach> feeds, std::string_view own_domain);
+
 // Whether more than the chosen hosts are followed.
 struct FeedPlan {
   bool is_wide = false;
--- a/lib/Node/entry_node.cc
+++ b/lib/Node/entry_node.cc
@@ -74,11 +74,13 @@
          feed.connector->IsHeard(kQuietTime);
 }
 
-bool EntryNode::IsCutOff() const {
-  auto current =
-      std::count_if(feeds_.begin(), feeds_.end(),
-                    [this](const Feed& feed) { return IsCurrent(feed); });
-  return current * 2 <= std::ssize(chosen_);
+bool EntryNode::IsOutOfReach() const {
+  std::vector<FeedReach> reach;
+  for (const auto& feed : feeds_) {
+    bool is_heard = feed.is_connected && feed.connector->IsHeard(kQuietTime);
+    reach.push_back({feed.failure_domain, is_heard});
+  }
+  return IsCutOff(reach, settings_.failure_domain);
 }
 
 void EntryNode::CheckPlan(Instant now) {
@@ -106,7 +108,7 @@
 }
 
 void EntryNode::CheckReach(Instant now) {
-  bool is_cut_off = is_complete_ && IsCutOff();
+  bool is_cut_off = is_complete_ && IsOutOfReach();
   if (is_cut_off != steering_.is_cut_off) {
     steering_.is_cut_off = is_cut_off;
     LogEvent(Weight::kNotable, "reach_changed", {{"is_cut_off", is_cut_off}});
@@ -260,6 +262,12 @@
       wanted.insert(host.link);
     }
   }
+  for (auto& feed : feeds_) {
+    for (const auto& host : known) {
+      feed.failure_domain =
+          host.link == feed.to ? host.failure_domain : feed.failure_domain;
+    }
+  }
   for (uint32_t i = 0; i < kMaxFeeds; ++i) {
     auto& feed = feeds_[i];
     if (!feed.connector || wanted.erase(feed.to) > 0) {
--- a/lib/Node/feed_choice.cc
+++ b/lib/Node/feed_choice.cc
@@ -37,6 +37,12 @@
   return chosen;
 }
 
+bool IsCutOff(std::span<const FeedReach> feeds, std::string_view own_domain) {
+  return std::none_of(feeds.begin(), feeds.end(), [&](const FeedReach& feed) {
+    return feed.is_heard && feed.failure_domain != own_domain;
+  });
+}
+
 bool UpdatePlan(FeedPlan& plan,
                 size_t chosen,
                 size_t current_chosen,
--- a/unittests/Node/feed_choice_test.cc
+++ b/unittests/Node/feed_choice_test.cc
@@ -3,6 +3,7 @@
 #include "acaciahold/Node/feed_choice.h"
 
 #include <map>
+#include <vector>
 
 #include <boost/test/unit_test.hpp>
 
@@ -65,6 +66,16 @@
   BOOST_TEST(!plan.is_wide);
 }
 
+BOOST_AUTO_TEST_CASE(OnlyHostsThatHearNoOtherDomainAreCutOff) {
+  std::vector<FeedReach> feeds{{"d1", true}, {"d2", true}, {"d3", false}};
+  BOOST_TEST(!IsCutOff(feeds, "d1"));
+  feeds[1].is_heard = false;
+  BOOST_TEST(IsCutOff(feeds, "d1"));  // Its own domain alone is heard.
+  BOOST_TEST(!IsCutOff(feeds, "d4"));
+  feeds[0].is_heard = false;
+  BOOST_TEST(IsCutOff(feeds, "d4"));
+}
+
 BOOST_AUTO_TEST_CASE(AnElectionIsNoReasonToTryAll) {
   FeedPlan plan;
   UpdatePlan(plan, 3, 0, kStart);
