--- a/include/acaciahold/Steering/tag_steering.h
+++ b/include/acaciahold/Steering/tag_steering.h
@@ -61,9 +61,10 @@
   kNoTable,     // Nothing is known yet.
   kNoUpstream,  // No upstream of the service may take the flow.
   kUnknownTag,  // Not known here; the news may still be on its way.
+  kStalled,     // This host stood still, and its news are not read yet.
 };
 inline constexpr size_t kTagReasons =
-    static_cast<size_t>(TagReason::kUnknownTag) + 1;
+    static_cast<size_t>(TagReason::kStalled) + 1;
 
 struct TagDecision {
   TagVerdict verdict = TagVerdict::kDrop;
@@ -79,6 +80,10 @@
 // Without a further packet of the flow for so long, it has not opened: callers
 // have sent a copy by then.
 inline constexpr Duration kOpenTimeout = std::chrono::milliseconds(450);
+// Ticks further apart than this show that the host stood still.
+inline constexpr Duration kStallTime = std::chrono::seconds(1);
+// Time to read the news that came meanwhile; callers send copies.
+inline constexpr Duration kStallRecovery = std::chrono::milliseconds(200);
 // Openings in a row without an answer before an upstream is avoided. Lost
 // packets cause single ones.
 inline constexpr uint32_t kMaxUnanswered = 3;
@@ -156,6 +161,8 @@
   // this host, since others may have been told of fewer.
   uint32_t entry_hosts = 0;
   TagCounts counts;
+  Instant ticked_at;       // Not set before the first tick.
+  Instant stall_deadline;  // Openings are dropped before it.
   std::map<std::string, Rotation> rotations;  // One for each service.
   // Invariant: one for each entry of `directory`.
   std::map<directory::UpstreamId, TagUpstream> upstreams;
--- a/lib/Steering/tag_steering.cc
+++ b/lib/Steering/tag_steering.cc
@@ -363,12 +363,22 @@
 
 namespace {
 
+// Whether the host has just gone on after standing still.
+bool IsStalled(const TagSteering& steering, Instant now) {
+  bool has_ticked = steering.ticked_at != Instant();
+  return now < steering.stall_deadline ||
+         (has_ticked && now > steering.ticked_at + kStallTime);
+}
+
 TagDecision DecideOpening(TagSteering& steering,
                           const Opening& opening,
                           Instant now) {
   if (steering.view.catalog.version == 0) {
     return {};
   }
+  if (IsStalled(steering, now)) {
+    return {TagVerdict::kDrop, TagReason::kStalled, 0, {}, 0};
+  }
   auto it = steering.listeners.find(PackEndpoint(opening.flow.listener));
   if (it == steering.listeners.end()) {
     return {TagVerdict::kReset, TagReason::kNoListener, 0, {}, 0};
@@ -466,6 +476,10 @@
 }
 
 void OnTick(TagSteering& steering, Instant now) {
+  if (IsStalled(steering, now) && now >= steering.stall_deadline) {
+    steering.stall_deadline = now + kStallRecovery;
+  }
+  steering.ticked_at = now;
   while (!steering.awaiting.empty()) {
     auto& recent = steering.recent[steering.awaiting.front()];
     if (!recent.is_answered && now < recent.placed_at + kOpenTimeout) {
@@ -514,6 +528,8 @@
       return "no_upstream";
     case TagReason::kUnknownTag:
       return "unknown_tag";
+    case TagReason::kStalled:
+      return "stalled";
   }
   return "unknown_tag";
 }
