Take lost voters out after three seconds

Cause: a control host was replaced; its successor joined after 1.8 s and was promoted beside the lost voter, which stayed for 10 s. Ruled out: the successor's catching up (0.01 s). Change: kMemberTimeout 10 to 3 s; a member that comes back joins within a second. Test: ALostVoterIsOutBeforeTheNextLoss failed first.

--- a/include/acaciahold/Consensus/group.h
+++ b/include/acaciahold/Consensus/group.h
@@ -22,9 +22,10 @@
 inline constexpr size_t kMaxMembers = 9;
 // Below this a group is not made smaller: two disks hold what is committed.
 inline constexpr size_t kMinVoters = 3;
-// Silent for so long, a voter is taken out; above what a restart or a short
-// partition takes. It joins again when it comes back.
-inline constexpr Duration kMemberTimeout = std::chrono::seconds(10);
+// Silent for so long, a voter is taken out: above what a restart takes, and
+// below the time after which the next one may be lost. It joins again when it
+// comes back, within a second.
+inline constexpr Duration kMemberTimeout = std::chrono::seconds(3);
 // The same where a learner waits to take its place: the next loss may come as
 // soon as the learner has had time to catch up.
 inline constexpr Duration kReplaceTimeout = kElectionTimeoutMax;
--- a/unittests/Consensus/group_test.cc
+++ b/unittests/Consensus/group_test.cc
@@ -140,6 +140,30 @@
   BOOST_TEST(IsVoter(leader, 9));
 }
 
+// A successor that came fast was promoted beside the lost voter, which was not
+// silent for long yet: four seconds later the next one may be lost.
+BOOST_AUTO_TEST_CASE(ALostVoterIsOutBeforeTheNextLoss) {
+  auto leader = MakeLeader(3);
+  Answer(leader, 2, 0, kStart);
+  auto members = leader.members;
+  members.push_back({9, LinkOf(9), false, 109});
+  auto joined = kStart + milliseconds(1'800);
+  ProposeMembers(leader, members, joined);
+  Answer(leader, 2, 0, joined);
+  Answer(leader, 9, 0, joined);
+  Answer(leader, 2, 0, joined);
+  Answer(leader, 9, 0, joined);
+  BOOST_REQUIRE(IsVoter(leader, 9));
+  auto next_loss = joined + std::chrono::seconds(4);
+  Answer(leader, 2, 0, next_loss);
+  Answer(leader, 9, 0, next_loss);
+  Joiners joiners;
+  auto without = NextMembers(leader, joiners, next_loss);
+  BOOST_REQUIRE(without.has_value());
+  BOOST_TEST(without->size() == 3U);
+  BOOST_TEST((*without)[1].id == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(OnlyALeaderChangesMembers) {
   auto replica = MakeLeader(3);
   replica.role = Role::kFollower;
