--- a/include/acaciahold/Steering/tag_steering.h
+++ b/include/acaciahold/Steering/tag_steering.h
@@ -197,6 +197,9 @@
                directory::UpstreamId id,
                Instant now);
 
+// Whether no feed that counts has heard of the upstream of late.
+bool IsSilent(const TagSteering& steering, const TagUpstream& upstream);
+
 // A feed begins to tell all that it knows; it has told all; or it has been lost
 // for so long that its news no longer count.
 void OnFeedBegin(TagSteering& steering, uint32_t feed);
--- /dev/null
+++ b/lib/Steering/tag_news.cc
@@ -0,0 +1,157 @@
+// What feeds tell a host that steers by tag: views, records and silence.
+
+#include <algorithm>
+
+#include "acaciahold/Steering/tag_steering.h"
+#include "acaciahold/Support/check.h"
+
+namespace acaciahold::steering {
+
+bool IsSilent(const TagSteering& steering, const TagUpstream& upstream) {
+  return steering.open_feeds != 0 &&
+         (upstream.silent_feeds & steering.open_feeds) == steering.open_feeds;
+}
+
+namespace {
+
+// Keeps track of the latest start at the record's endpoint.
+void NoteEndpoint(TagSteering& steering, const directory::Record& record) {
+  auto& latest = steering.latest_at[PackEndpoint(record.endpoint)];
+  auto it = steering.directory.entries.find(latest);
+  bool is_later = it == steering.directory.entries.end() ||
+                  it->second.record.endpoint != record.endpoint ||
+                  it->second.record.born_ms < record.born_ms;
+  if (is_later) {
+    latest = record.id;
+  }
+}
+
+TagUpstream& EnsureUpstream(TagSteering& steering,
+                            const directory::Record& record) {
+  auto [it, is_new] = steering.upstreams.try_emplace(record.id);
+  auto& upstream = it->second;
+  if (is_new) {
+    upstream.id = record.id;
+    upstream.tag = TagOf(record.id);
+    // Feeds other than the first to tell have not heard of it yet; they will.
+    upstream.silent_feeds = 0;
+    steering.by_tag[upstream.tag] = &upstream;
+  }
+  upstream.endpoint = record.endpoint;
+  upstream.candidate.slots = std::max(1U, record.slots);
+  upstream.candidate.is_local =
+      record.failure_domain == steering.failure_domain;
+  return upstream;
+}
+
+// Gives an upstream a turn in its service's rotation, and a clean slate.
+void Enroll(TagSteering& steering,
+            TagUpstream& upstream,
+            const directory::Record& record) {
+  std::uniform_real_distribution<double> jitter(0.0, 1.0);
+  JoinRotation(steering.rotations[record.service], upstream.candidate,
+               jitter(steering.random));
+  upstream.candidate.load = {};
+  upstream.cold_gate = {};
+  upstream.reachability = {};
+}
+
+}  // namespace
+
+bool OnView(TagSteering& steering, catalog::View view) {
+  if (view.revision <= steering.view.revision) {
+    return false;
+  }
+  steering.view = std::move(view);
+  steering.listeners.clear();
+  for (const auto& listener : steering.view.catalog.listeners) {
+    steering.listeners[PackEndpoint(listener.endpoint)] = &listener;
+  }
+  return true;
+}
+
+bool OnRecord(TagSteering& steering,
+              uint32_t feed,
+              const directory::Record& record,
+              Instant now) {
+  auto known = steering.directory.entries.find(record.id);
+  bool is_start = known == steering.directory.entries.end() ||
+                  known->second.record.born_ms < record.born_ms;
+  auto change = directory::Merge(steering.directory, record, now);
+  auto& upstream =
+      EnsureUpstream(steering, steering.directory.entries.at(record.id).record);
+  if (change != directory::Change::kStale) {
+    upstream.silent_feeds = 0;
+    NoteEndpoint(steering, record);
+  }
+  upstream.silent_feeds &= ~(FeedMask{1} << feed);
+  steering.directory.entries.at(record.id).is_silent = false;
+  if (is_start) {
+    Enroll(steering, upstream, record);
+  }
+  return change == directory::Change::kChanged;
+}
+
+bool OnSilence(TagSteering& steering,
+               uint32_t feed,
+               directory::UpstreamId id,
+               Instant now) {
+  auto it = steering.upstreams.find(id);
+  if (it == steering.upstreams.end()) {
+    return false;
+  }
+  it->second.silent_feeds |= FeedMask{1} << feed;
+  auto& entry = steering.directory.entries.at(id);
+  bool is_change = !entry.is_silent && IsSilent(steering, it->second);
+  if (is_change) {
+    entry.is_silent = true;
+    entry.heard_at = now;
+  }
+  return is_change;
+}
+
+void OnFeedBegin(TagSteering& steering, uint32_t feed) {
+  FeedMask bit = FeedMask{1} << feed;
+  steering.open_feeds &= ~bit;
+  // What the feed does not tell of, it has not heard.
+  for (auto& [id, upstream] : steering.upstreams) {
+    upstream.silent_feeds |= bit;
+  }
+}
+
+void OnFeedComplete(TagSteering& steering, uint32_t feed) {
+  steering.open_feeds |= FeedMask{1} << feed;
+}
+
+void OnFeedLost(TagSteering& steering, uint32_t feed, Instant now) {
+  FeedMask rest = steering.open_feeds & ~(FeedMask{1} << feed);
+  if (rest == 0) {
+    return;  // Cut off: what was last known goes on to hold.
+  }
+  steering.open_feeds = rest;
+  for (auto& [id, upstream] : steering.upstreams) {
+    auto& entry = steering.directory.entries.at(id);
+    if (!entry.is_silent && IsSilent(steering, upstream)) {
+      entry.is_silent = true;
+      entry.heard_at = now;
+    }
+  }
+}
+
+void ForgetUpstreams(TagSteering& steering, Instant now) {
+  std::erase_if(steering.latest_at, [&](const auto& it) {
+    return !steering.directory.entries.contains(it.second);
+  });
+  for (auto id : directory::ForgetOld(steering.directory, now)) {
+    auto it = steering.upstreams.find(id);
+    AssertInvariant(it != steering.upstreams.end(),
+                    "every directory entry has its upstream");
+    auto by_tag = steering.by_tag.find(it->second.tag);
+    if (by_tag != steering.by_tag.end() && by_tag->second == &it->second) {
+      steering.by_tag.erase(by_tag);
+    }
+    steering.upstreams.erase(it);
+  }
+}
+
+}  // namespace acaciahold::steering
