--- a/include/acaciahold/Table/table_json.h
+++ b/include/acaciahold/Table/table_json.h
@@ -26,9 +26,6 @@
 Result<HistoryEntry> HistoryFromJson(const boost::json::value& value);
 Result<TableState> StateFromJson(const boost::json::value& value);
 
-// Parses a document and decodes it with `decode`. Fails with FieldError.
-Result<boost::json::value> ParseJson(std::string_view text);
-
 }  // namespace acaciahold::table
 
 #endif  // ACACIAHOLD_TABLE_TABLE_JSON_H_
--- a/lib/Host/control_shell.cc
+++ b/lib/Host/control_shell.cc
@@ -14,6 +14,7 @@
 #include <boost/json.hpp>
 #include <glog/logging.h>
 
+#include "acaciahold/Json/decode.h"
 #include "acaciahold/Table/table_json.h"
 
 namespace acaciahold::host {
@@ -118,7 +119,7 @@
   std::unique_ptr<ControlShell> shell(
       new ControlShell(io, client, settings, std::move(folder)));
   if (!stored.snapshot.data.empty()) {
-    BOOST_LEAF_AUTO(value, table::ParseJson(stored.snapshot.data));
+    BOOST_LEAF_AUTO(value, acaciahold::json::Parse(stored.snapshot.data));
     BOOST_LEAF_ASSIGN(shell->state_, table::StateFromJson(value));
   }
   consensus::StartState start;
@@ -198,7 +199,7 @@
     Send(std::move(message));
   }
   if (output.restore) {
-    auto value = table::ParseJson(output.restore->data);
+    auto value = acaciahold::json::Parse(output.restore->data);
     if (value) {
       if (auto state = table::StateFromJson(*value)) {
         state_ = std::move(*state);
@@ -218,7 +219,7 @@
 void ControlShell::Apply(const consensus::LogEntry& entry) {
   std::optional<table::EditOutcome> outcome;
   if (entry.kind == consensus::EntryKind::kCommand) {
-    if (auto value = table::ParseJson(entry.payload)) {
+    if (auto value = acaciahold::json::Parse(entry.payload)) {
       if (auto edit = table::EditFromJson(*value)) {
         outcome = table::ApplyEdit(state_, *edit);
       }
@@ -310,7 +311,7 @@
 }
 
 Response ControlShell::OnLogMessage(const http::Request& request) {
-  auto value = table::ParseJson(request.body());
+  auto value = acaciahold::json::Parse(request.body());
   if (!value) {
     return BadRequest("wanted a message of the log");
   }
@@ -329,7 +330,7 @@
 }
 
 asio::awaitable<Response> ControlShell::OnEdit(const http::Request& request) {
-  auto value = table::ParseJson(request.body());
+  auto value = acaciahold::json::Parse(request.body());
   if (!value) {
     co_return BadRequest("wanted an edit as JSON");
   }
@@ -446,7 +447,7 @@
 
 asio::awaitable<Response> ControlShell::OnMembers(
     const http::Request& request) {
-  auto value = table::ParseJson(request.body());
+  auto value = acaciahold::json::Parse(request.body());
   if (!value) {
     co_return BadRequest("wanted a list of members");
   }
--- a/lib/Host/entry_shell.cc
+++ b/lib/Host/entry_shell.cc
@@ -12,6 +12,7 @@
 #include <boost/json.hpp>
 #include <glog/logging.h>
 
+#include "acaciahold/Json/decode.h"
 #include "acaciahold/Table/table_json.h"
 #include "acaciahold/Upstream/registry_json.h"
 
@@ -169,7 +170,7 @@
       result.response.result() != Status::ok) {
     co_return;
   }
-  auto value = table::ParseJson(result.response.body());
+  auto value = acaciahold::json::Parse(result.response.body());
   if (!value) {
     co_return;
   }
@@ -185,7 +186,7 @@
   if (result.end != http::FetchEnd::kAnswer) {
     co_return;
   }
-  auto value = table::ParseJson(result.response.body());
+  auto value = acaciahold::json::Parse(result.response.body());
   if (!value) {
     co_return;
   }
@@ -247,7 +248,7 @@
   };
   return leaf::try_handle_all(
       [&]() -> Result<Response> {
-        BOOST_LEAF_AUTO(value, table::ParseJson(request.body()));
+        BOOST_LEAF_AUTO(value, acaciahold::json::Parse(request.body()));
         BOOST_LEAF_AUTO(said, upstream::AnnouncementFromJson(value));
         auto faults = upstream::CheckAnnouncement(said);
         if (!faults.empty()) {
--- a/lib/Table/table_json.cc
+++ b/lib/Table/table_json.cc
@@ -2,35 +2,18 @@
 
 #include "acaciahold/Table/table_json.h"
 
-#include <exception>
-
 #include <boost/json.hpp>
 
+#include "acaciahold/Json/decode.h"
+
 namespace acaciahold::table {
 namespace {
 
 namespace json = boost::json;
 
-// Decoders below throw on a missing field or another type; Guarded turns that
-// into a FieldError at the library's edge.
-template <typename F>
-auto Guarded(F decode) -> Result<decltype(decode())> {
-  try {
-    return decode();
-  } catch (const std::exception& e) {
-    return leaf::new_error(FieldError{
-        .field = "(json)", .value = e.what(), .wanted = "the documented form"});
-  }
-}
-
-std::string TextAt(const json::object& object, std::string_view key) {
-  return std::string(object.at(key).as_string());
-}
-
-template <typename T>
-T NumberAt(const json::object& object, std::string_view key) {
-  return object.at(key).to_number<T>();
-}
+using acaciahold::json::Decode;
+using acaciahold::json::NumberAt;
+using acaciahold::json::TextAt;
 
 json::value RowToJson(const ServiceRow& row) {
   json::array domains;
@@ -229,33 +212,23 @@
 }
 
 Result<ServiceTable> TableFromJson(const json::value& value) {
-  return Guarded([&] { return DecodeTable(value); });
+  return Decode([&] { return DecodeTable(value); });
 }
 
 Result<Edit> EditFromJson(const json::value& value) {
-  return Guarded([&] { return DecodeEdit(value); });
+  return Decode([&] { return DecodeEdit(value); });
 }
 
 Result<EditOutcome> OutcomeFromJson(const json::value& value) {
-  return Guarded([&] { return DecodeOutcome(value); });
+  return Decode([&] { return DecodeOutcome(value); });
 }
 
 Result<HistoryEntry> HistoryFromJson(const json::value& value) {
-  return Guarded([&] { return DecodeHistory(value); });
+  return Decode([&] { return DecodeHistory(value); });
 }
 
 Result<TableState> StateFromJson(const json::value& value) {
-  return Guarded([&] { return DecodeState(value); });
-}
-
-Result<json::value> ParseJson(std::string_view text) {
-  json::error_code ec;
-  auto value = json::parse(text, ec);
-  if (ec) {
-    return leaf::new_error(FieldError{
-        .field = "(json)", .value = ec.message(), .wanted = "a JSON document"});
-  }
-  return value;
+  return Decode([&] { return DecodeState(value); });
 }
 
 }  // namespace acaciahold::table
