--- a/lib/Storage/data_folder.cc
+++ b/lib/Storage/data_folder.cc
@@ -236,7 +236,10 @@
     return "";
   }
   auto scan = ScanRecords(std::string_view(*bytes).substr(kFileHeader.size()));
-  return scan.payloads.size() == 1 ? std::string(scan.payloads[0]) : "";
+  if (scan.payloads.size() != 1) {
+    return "";
+  }
+  return std::string{scan.payloads[0]};
 }
 
 }  // namespace
