--- a/lib/Storage/data_folder.cc
+++ b/lib/Storage/data_folder.cc
@@ -235,7 +235,8 @@
   if (!bytes || bytes->size() < kFileHeader.size()) {
     return "";
   }
-  auto scan = ScanRecords(std::string_view(*bytes).substr(kFileHeader.size()));
+  std::string_view content = *bytes;
+  auto scan = ScanRecords(content.substr(kFileHeader.size()));
   if (scan.payloads.size() != 1) {
     return "";
   }
