--- a/unittests/platform/codecs_test.cc
+++ b/unittests/platform/codecs_test.cc
@@ -75,8 +75,7 @@
       0x00, 0x00, 0x00, 0x00, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00,
       0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x41, 0x9c, 0x01, 0x00,
       0x12, 0xc6, 0x07, 0x00, 0x40, 0x64, 0xbb, 0x01, 0x00, 0x00};
-  BOOST_TEST(ToVector(MakeReset(buffer.packet(), *head)) == expected,
-             boost::test_tools::per_element());
+  BOOST_CHECK(ToVector(MakeReset(buffer.packet(), *head)) == expected);
 }
 
 BOOST_AUTO_TEST_CASE(OnlyTheTagIsWritten) {
@@ -87,8 +86,7 @@
   expected[9] = 0xc3;
   expected[10] = 0xb2;
   expected[11] = 0xa1;
-  BOOST_TEST(ToVector(buffer.packet()) == expected,
-             boost::test_tools::per_element());
+  BOOST_CHECK(ToVector(buffer.packet()) == expected);
   BOOST_TEST(ReadPacketHead(buffer.packet())->tag == 0xa1b2c3d4U);
 }
 
@@ -98,8 +96,8 @@
   auto bytes = ToVector(whole);
   BOOST_REQUIRE(bytes.size() == kHeadBytes + kUpstreamIdBytes);
   const std::vector<unsigned char> id{0, 0, 0, 0, 0x7f, 0x3a, 0x91, 0xc2};
-  BOOST_TEST(std::vector<unsigned char>(bytes.begin(), bytes.begin() + 8) == id,
-             boost::test_tools::per_element());
+  BOOST_CHECK(std::vector<unsigned char>(bytes.begin(), bytes.begin() + 8) ==
+              id);
 }
 
 BOOST_AUTO_TEST_CASE(ShortAndTornPacketsAreRefused) {
