Let one feed tell all first, and keep packets that come before it has

Ruled out: the start of control hosts, which takes 6 ms after their disk is read. Change: one feed is asked to tell all; the others after it, with the revision that is held, and do not tell the table again. Upstreams come before the table. Nothing is refused before a feed has told all. Lost links are opened again after at most 160 ms (400 before). The restart is bound by when control hosts come back.

--- a/include/acaciahold/Link/link.h
+++ b/include/acaciahold/Link/link.h
@@ -19,9 +19,10 @@
 namespace acaciahold::link {
 
 // A lost session is opened again after so long, since hosts restart within a
-// second; doubled with each failure up to the maximum.
+// second; doubled with each failure up to the maximum. Callers may be waiting
+// for it.
 inline constexpr std::chrono::milliseconds kReconnectDelayMin{40};
-inline constexpr std::chrono::milliseconds kReconnectDelayMax{400};
+inline constexpr std::chrono::milliseconds kReconnectDelayMax{160};
 // Some round trips, also between regions. A host without power does not answer,
 // and the next attempt finds it started.
 inline constexpr std::chrono::milliseconds kConnectTimeout{120};
--- a/include/acaciahold/Node/entry_node.h
+++ b/include/acaciahold/Node/entry_node.h
@@ -5,6 +5,7 @@
 #define ACACIAHOLD_NODE_ENTRY_NODE_H_
 
 #include <array>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -34,12 +35,16 @@
 // without an upstream in reach leaves its callers to other failure domains.
 inline constexpr double kMaxRemotePart = 0.2;
 inline constexpr Duration kForgetInterval = std::chrono::seconds(5);
+// At a start one feed tells all that it knows before others are asked, so that
+// the table is read once; after so long others are asked as well.
+inline constexpr Duration kFirstFeedTimeout = std::chrono::milliseconds(100);
 
 class EntryNode {
  public:
   EntryNode(boost::asio::io_context& io, NodeSettings settings);
 
-  void Start();
+  // `on_complete` is called when a feed has told all that it knows.
+  void Start(std::function<void()> on_complete);
 
   // The seeds have changed.
   void OnSeeds(std::vector<Endpoint> links);
@@ -62,6 +67,7 @@
     std::vector<ControlHost> hosts;              // As this feed tells.
     std::string failure_domain;  // Of the control host; empty: not known.
     bool is_connected = false;
+    bool is_greeted = false;   // Asked to tell all that it knows.
     bool is_current = false;   // As this feed tells of itself.
     uint32_t entry_hosts = 0;  // As this feed counts.
     Instant lost_deadline;     // Not connected: the feed counts until then.
@@ -71,6 +77,8 @@
 
   void Connect(Endpoint to);
   void OnOpen(uint32_t feed);
+  void Greet(uint32_t feed, Instant now);
+  void GreetFeeds(Instant now);
   void OnClose(uint32_t feed);
   void OnText(uint32_t feed, std::string_view text);
   void OnNews(uint32_t feed, const Message& message);
@@ -95,8 +103,9 @@
   steering::TagSteering steering_;
   std::array<Feed, kMaxFeeds> feeds_;
   boost::asio::steady_timer timer_;
+  std::function<void()> on_complete_;
   Instant forget_deadline_;
-  bool is_complete_ = false;  // A feed has told all that it knows.
+  Instant first_feed_deadline_;
   bool is_leaving_ = false;
   bool is_out_of_reach_ = false;  // Cut off from what its callers need.
 };
--- a/include/acaciahold/Node/messages.h
+++ b/include/acaciahold/Node/messages.h
@@ -25,6 +25,8 @@
   bool is_control = false;
   Endpoint link;  // Of a control host's own listener.
   std::string failure_domain;
+  // Of the view that the sender holds already, as catalog::View.
+  uint64_t revision = 0;
 };
 
 // A message of the replicated log.
--- a/include/acaciahold/Node/packet_port.h
+++ b/include/acaciahold/Node/packet_port.h
@@ -16,6 +16,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include "acaciahold/Node/early_packets.h"
 #include "acaciahold/Node/pacer.h"
 #include "acaciahold/Support/address.h"
 #include "acaciahold/Support/error.h"
@@ -35,6 +36,7 @@
     Endpoint to;
     std::span<std::byte> bytes;  // Empty: nothing is sent.
     uint64_t key = 0;            // The same for repetitions of a packet.
+    bool is_early = false;       // To be handled again by HandleEarly.
   };
   // `packet` has kPrefixRoom free bytes before it.
   using Handler = std::function<Outgoing(std::span<std::byte> packet)>;
@@ -46,7 +48,11 @@
 
   void Start(Handler handler);
 
+  // Handles the packets again that came too early.
+  void HandleEarly();
+
   const Pacer& pacer() const { return pacer_; }
+  const EarlyPackets& early() const { return early_; }
 
   uint64_t received() const { return received_; }
   uint64_t sent() const { return sent_; }
@@ -56,13 +62,15 @@
   PacketPort(boost::asio::io_context& io, Pacer pacer);
 
   void Wait();
-  // Returns how many packets were read.
-  size_t ReadBatch();
+  void ReadBatch();
+  // Handles the first `n` packets in the buffers, whose lengths are in `in_`.
+  void HandleBatch(size_t n);
   void SendBatch(size_t n);
   void SendWaiting();
 
   boost::asio::ip::udp::socket socket_;
   Pacer pacer_;
+  EarlyPackets early_;
   boost::asio::steady_timer timer_;
   bool is_timer_set_ = false;  // For packets that wait.
   Handler handler_;
--- a/include/acaciahold/Steering/tag_steering.h
+++ b/include/acaciahold/Steering/tag_steering.h
@@ -154,6 +154,9 @@
   catalog::View view;
   directory::Directory directory;
   FeedMask open_feeds = 0;
+  // Some feed has told all that it knew. What no feed told of may exist until
+  // then, so that nothing is refused for want of it.
+  bool is_complete = false;
   // Whether most control hosts are out of reach: other failure domains'
   // upstreams are likely to be as well.
   bool is_cut_off = false;
--- a/lib/Node/control_links.cc
+++ b/lib/Node/control_links.cc
@@ -33,8 +33,8 @@
   LogEvent(Weight::kNotable, "control_host_found",
            {{"link", FormatEndpoint(to)}});
   auto& connector = *links_.at(to);
-  connector.Send(Encode(
-      Hello{settings_.name, true, settings_.link(), settings_.failure_domain}));
+  connector.Send(Encode(Hello{settings_.name, true, settings_.link(),
+                              settings_.failure_domain, state_.view.revision}));
   connector.Send(Encode(WholeDirectory(ReadClock())));
   connector.Send(Encode(FedEntryHosts()));
   if (group_->Leader()) {
--- a/lib/Node/control_node.cc
+++ b/lib/Node/control_node.cc
@@ -232,9 +232,6 @@
   peer.session->Send(Encode(Standing{told_current_}));
   TellEntryHosts(now);
   peer.session->Send(Encode(EntryCount{told_entry_count_}));
-  if (state_.view.revision > 0) {
-    peer.session->Send(Encode(state_.view));
-  }
   Records records;
   Silences silences;
   for (const auto& [id, entry] : directory_.entries) {
@@ -245,6 +242,10 @@
   }
   peer.session->Send(Encode(records));
   peer.session->Send(Encode(silences));
+  // After the upstreams, which open flows need; a long table takes a while.
+  if (state_.view.revision > peer.hello.revision) {
+    peer.session->Send(Encode(state_.view));
+  }
   if (is_complete_) {
     peer.session->Send(Encode(Complete{}));
   }
--- a/lib/Node/entry_node.cc
+++ b/lib/Node/entry_node.cc
@@ -31,7 +31,8 @@
                                           SeedOf(settings_))),
       timer_(io) {}
 
-void EntryNode::Start() {
+void EntryNode::Start(std::function<void()> on_complete) {
+  on_complete_ = std::move(on_complete);
   UpdateFeeds();
   Tick();
 }
@@ -42,7 +43,7 @@
 }
 
 bool EntryNode::is_ready() const {
-  return is_complete_ && !is_leaving_ && !is_out_of_reach_ &&
+  return steering_.is_complete && !is_leaving_ && !is_out_of_reach_ &&
          steering_.view.catalog.version > 0;
 }
 
@@ -55,6 +56,7 @@
   Instant now = ReadClock();
   steering::OnTick(steering_, now);
   DropLostFeeds(now);
+  GreetFeeds(now);
   CheckPlan(now);
   CheckReach(now);
   if (now >= forget_deadline_) {
@@ -108,7 +110,7 @@
 }
 
 void EntryNode::CheckReach(Instant now) {
-  bool is_cut_off = is_complete_ && IsOutOfReach();
+  bool is_cut_off = steering_.is_complete && IsOutOfReach();
   if (is_cut_off != steering_.is_cut_off) {
     steering_.is_cut_off = is_cut_off;
     LogEvent(Weight::kNotable, "reach_changed", {{"is_cut_off", is_cut_off}});
@@ -161,13 +163,33 @@
   feeds_[feed].is_connected = true;
   LogEvent(Weight::kNotable, "feed_regained",
            {{"link", FormatEndpoint(feeds_[feed].to)}});
-  feeds_[feed].connector->Send(
-      Encode(Hello{settings_.name, false, {}, settings_.failure_domain}));
+  GreetFeeds(ReadClock());
+}
+
+void EntryNode::Greet(uint32_t feed, Instant now) {
+  feeds_[feed].is_greeted = true;
+  first_feed_deadline_ = now + kFirstFeedTimeout;
+  feeds_[feed].connector->Send(Encode(Hello{settings_.name,
+                                            false,
+                                            {},
+                                            settings_.failure_domain,
+                                            steering_.view.revision}));
   steering::OnFeedBegin(steering_, feed);
 }
 
+// Asks connected feeds to tell what they know: one at first.
+void EntryNode::GreetFeeds(Instant now) {
+  for (uint32_t i = 0; i < kMaxFeeds; ++i) {
+    bool is_due = steering_.is_complete || now >= first_feed_deadline_;
+    if (is_due && feeds_[i].is_connected && !feeds_[i].is_greeted) {
+      Greet(i, now);
+    }
+  }
+}
+
 void EntryNode::OnClose(uint32_t feed) {
   feeds_[feed].is_connected = false;
+  feeds_[feed].is_greeted = false;
   feeds_[feed].is_current = false;
   CountEntryHosts();
   feeds_[feed].lost_deadline = ReadClock() + kFeedTimeout;
@@ -204,7 +226,8 @@
     CountEntryHosts();
   } else if (std::get_if<Complete>(&message)) {
     steering::OnFeedComplete(steering_, feed);
-    is_complete_ = true;
+    GreetFeeds(ReadClock());
+    on_complete_();
   } else if (const auto* view = std::get_if<catalog::View>(&message)) {
     if (steering::OnView(steering_, *view)) {
       LogEvent(Weight::kNotable, "table_changed",
--- a/lib/Node/messages.cc
+++ b/lib/Node/messages.cc
@@ -21,7 +21,8 @@
           {"name", hello.name},
           {"is_control", hello.is_control},
           {"link", PackEndpoint(hello.link)},
-          {"failure_domain", hello.failure_domain}};
+          {"failure_domain", hello.failure_domain},
+          {"revision", hello.revision}};
 }
 
 value EncodePart(const LogMessage& message) {
@@ -166,7 +167,8 @@
   auto kind = TextAt(from, "kind");
   if (kind == "hello") {
     return Hello{TextAt(from, "name"), from.at("is_control").as_bool(),
-                 EndpointOf(from.at("link")), TextAt(from, "failure_domain")};
+                 EndpointOf(from.at("link")), TextAt(from, "failure_domain"),
+                 NumberAt<uint64_t>(from, "revision")};
   }
   if (kind == "log") {
     return DecodeLog(from);
--- a/lib/Node/node_metrics.cc
+++ b/lib/Node/node_metrics.cc
@@ -70,6 +70,9 @@
   families.Add(port.received());
   families.Begin("acaciahold_packets_sent_total", "Packets sent on");
   families.Add(port.sent());
+  families.Begin("acaciahold_packets_dropped_early_total",
+                 "Packets that came before the table and waited too long");
+  families.Add(port.early().dropped);
   families.Begin("acaciahold_packets_send_failures_total",
                  "Packets that the socket did not take");
   families.Add(port.send_failures());
--- a/lib/Node/packet_port.cc
+++ b/lib/Node/packet_port.cc
@@ -2,7 +2,9 @@
 
 #include "acaciahold/Node/packet_port.h"
 
+#include <algorithm>
 #include <cerrno>
+#include <utility>
 
 #include <arpa/inet.h>
 
@@ -70,18 +72,39 @@
   });
 }
 
-size_t PacketPort::ReadBatch() {
+void PacketPort::ReadBatch() {
   int n = ::recvmmsg(socket_.native_handle(), in_.data(), kBatchSize,
                      MSG_DONTWAIT, nullptr);
   if (n <= 0) {
-    return 0;  // Nothing there; the next wait reports what is wrong.
+    return;  // Nothing there; the next wait reports what is wrong.
   }
   received_ += static_cast<uint64_t>(n);
+  HandleBatch(static_cast<size_t>(n));
+}
+
+void PacketPort::HandleEarly() {
+  size_t n = 0;
+  for (const auto& packet : TakeEarly(early_, ReadClock())) {
+    std::copy(packet.bytes.begin(), packet.bytes.end(),
+              buffers_[n].data() + kPrefixRoom);
+    in_[n].msg_len = static_cast<unsigned>(packet.bytes.size());
+    if (++n == kBatchSize) {
+      HandleBatch(std::exchange(n, 0));
+    }
+  }
+  HandleBatch(n);
+}
+
+void PacketPort::HandleBatch(size_t n) {
   Instant now = ReadClock();
   size_t outgoing = 0;
-  for (int i = 0; i < n; ++i) {
+  for (size_t i = 0; i < n; ++i) {
     std::span packet(buffers_[i].data() + kPrefixRoom, in_[i].msg_len);
     auto action = handler_(packet);
+    if (action.is_early) {
+      KeepEarly(early_, packet, now);
+      continue;
+    }
     if (action.bytes.empty()) {
       continue;
     }
@@ -96,7 +119,6 @@
   }
   SendBatch(outgoing);
   SendWaiting();
-  return static_cast<size_t>(n);
 }
 
 // Sends what has had its turn, and sets the timer for the rest.
--- a/lib/Steering/tag_news.cc
+++ b/lib/Steering/tag_news.cc
@@ -121,6 +121,7 @@
 
 void OnFeedComplete(TagSteering& steering, uint32_t feed) {
   steering.open_feeds |= FeedMask{1} << feed;
+  steering.is_complete = true;
 }
 
 void OnFeedLost(TagSteering& steering, uint32_t feed, Instant now) {
--- a/lib/Steering/tag_steering.cc
+++ b/lib/Steering/tag_steering.cc
@@ -310,6 +310,9 @@
                       const Opening& opening,
                       Instant now) {
   auto decision = DecideOpening(steering, opening, now);
+  if (decision.verdict == TagVerdict::kReset && !steering.is_complete) {
+    decision = {};
+  }
   Count(steering, decision);
   return decision;
 }
--- a/unittests/Node/messages_test.cc
+++ b/unittests/Node/messages_test.cc
@@ -46,10 +46,11 @@
 }  // namespace
 
 BOOST_AUTO_TEST_CASE(EachMessageComesBackAsItWas) {
-  auto hello = RoundTrip(Hello{"h", true, {1, 2}, "north"});
+  auto hello = RoundTrip(Hello{"h", true, {1, 2}, "north", 9});
   BOOST_TEST(hello.name == "h");
   BOOST_TEST(hello.is_control);
   BOOST_CHECK(hello.link == (Endpoint{1, 2}));
+  BOOST_TEST(hello.revision == 9U);
   LogMessage log;
   log.from = {3, 4};
   log.message.kind = consensus::MessageKind::kAppend;
--- a/unittests/Steering/tag_steering_test.cc
+++ b/unittests/Steering/tag_steering_test.cc
@@ -80,6 +80,25 @@
   BOOST_CHECK(decision.reason == TagReason::kNoTable);
 }
 
+// A host that starts hears of upstreams and of the table one after the other;
+// what it has not heard of yet is no reason to turn a caller away.
+BOOST_AUTO_TEST_CASE(NothingIsRefusedBeforeAFeedHasToldAll) {
+  auto steering = MakeTagSteering("north", 1);
+  OnFeedBegin(steering, 0);
+  OnView(steering, MakeView(1));
+  auto unknown = MakeOpening(1);
+  unknown.flow.listener.port = 444;
+  BOOST_CHECK(OnOpening(steering, MakeOpening(1), kStart).verdict ==
+              TagVerdict::kDrop);
+  BOOST_CHECK(OnOpening(steering, unknown, kStart).verdict ==
+              TagVerdict::kDrop);
+  OnFeedComplete(steering, 0);
+  BOOST_CHECK(OnOpening(steering, MakeOpening(1), kStart).verdict ==
+              TagVerdict::kReset);
+  BOOST_CHECK(OnOpening(steering, unknown, kStart).verdict ==
+              TagVerdict::kReset);
+}
+
 BOOST_AUTO_TEST_CASE(AnUnknownListenerIsAReset) {
   auto steering = MakeSteering();
   auto opening = MakeOpening(1);
