Notice a cut failure domain after a keep-alive and a half

Ruled out: resets by cut-off hosts, since the callers' copies of an opening reach other domains as soon as the fabric has turned to them. Change: a host takes itself for cut off after 450 ms; leaving too early costs nothing, as the fabric probes twice. A domain whose control hosts are not heard is avoided after one unanswered opening. Tests: AQuietDomainIsAvoidedAfterOneUnansweredOpening, ADomainIsQuietWhereNoneOfItsHostsIsHeard.

--- a/include/acaciahold/Node/entry_node.h
+++ b/include/acaciahold/Node/entry_node.h
@@ -31,6 +31,10 @@
 // Nothing heard for so long, a control host may be out of reach; some times
 // link::kKeepAliveInterval.
 inline constexpr std::chrono::milliseconds kQuietTime{1'000};
+// The same for a whole failure domain: a keep-alive and a half have not come. A
+// host that takes itself for cut off too early loses nothing by it: the fabric
+// asks twice before it turns to others.
+inline constexpr std::chrono::milliseconds kReachTimeout{450};
 // A host that is cut off with more than this part of its requests to services
 // without an upstream in reach leaves its callers to other failure domains.
 inline constexpr double kMaxRemotePart = 0.2;
@@ -56,6 +60,9 @@
 
   // Whether the catalog that is held is told by a control host just now.
   bool has_feed() const;
+  // Whether it is told by one that hears from a majority, so that it is the
+  // newest.
+  bool is_current() const;
 
   steering::TagSteering& steering() { return steering_; }
   const steering::TagSteering& steering() const { return steering_; }
@@ -88,7 +95,7 @@
   void Tick();
   void DropLostFeeds(Instant now);
   bool IsCurrent(const Feed& feed) const;
-  bool IsOutOfReach() const;
+  std::vector<FeedReach> ReachOfFeeds() const;
   void CheckReach(Instant now);
   void CheckPlan(Instant now);
   void CountEntryHosts();
--- a/include/acaciahold/Node/feed_choice.h
+++ b/include/acaciahold/Node/feed_choice.h
@@ -52,6 +52,11 @@
 // lost each other, but are heard, cut nobody off.
 bool IsCutOff(std::span<const FeedReach> feeds, std::string_view own_domain);
 
+// Other failure domains whose followed control hosts are all unheard. Where
+// these have only failed, the domain's upstreams still answer.
+std::set<std::string> QuietDomains(std::span<const FeedReach> feeds,
+                                   std::string_view own_domain);
+
 // Whether more than the chosen hosts are followed.
 struct FeedPlan {
   bool is_wide = false;
--- a/include/acaciahold/Steering/tag_steering.h
+++ b/include/acaciahold/Steering/tag_steering.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -94,6 +95,8 @@
 // Openings in a row without an answer, over all upstreams of a failure domain,
 // before the domain is avoided: a partition leaves all of them unanswered.
 inline constexpr uint32_t kMaxUnansweredInDomain = 4;
+// The same where its control hosts are not heard either.
+inline constexpr uint32_t kMaxUnansweredInQuietDomain = 1;
 
 // How openings went that were sent to one upstream, or to one failure domain.
 struct Reachability {
@@ -161,6 +164,8 @@
   // upstreams are likely to be as well.
   bool is_cut_off = false;
   std::map<std::string, Reachability> domains;
+  // Other failure domains whose control hosts are followed and not heard.
+  std::set<std::string> quiet_domains;
   // Entry hosts that share what a cold upstream bears; 0: none may be used by
   // this host, since others may have been told of fewer.
   uint32_t entry_hosts = 0;
--- a/lib/Node/entry_node.cc
+++ b/lib/Node/entry_node.cc
@@ -52,6 +52,11 @@
                      [](const Feed& feed) { return feed.is_connected; });
 }
 
+bool EntryNode::is_current() const {
+  return std::any_of(feeds_.begin(), feeds_.end(),
+                     [this](const Feed& feed) { return IsCurrent(feed); });
+}
+
 void EntryNode::Tick() {
   Instant now = ReadClock();
   steering::OnTick(steering_, now);
@@ -76,13 +81,13 @@
          feed.connector->IsHeard(kQuietTime);
 }
 
-bool EntryNode::IsOutOfReach() const {
+std::vector<FeedReach> EntryNode::ReachOfFeeds() const {
   std::vector<FeedReach> reach;
   for (const auto& feed : feeds_) {
-    bool is_heard = feed.is_connected && feed.connector->IsHeard(kQuietTime);
+    bool is_heard = feed.is_connected && feed.connector->IsHeard(kReachTimeout);
     reach.push_back({feed.failure_domain, is_heard});
   }
-  return IsCutOff(reach, settings_.failure_domain);
+  return reach;
 }
 
 void EntryNode::CheckPlan(Instant now) {
@@ -110,7 +115,10 @@
 }
 
 void EntryNode::CheckReach(Instant now) {
-  bool is_cut_off = steering_.is_complete && IsOutOfReach();
+  auto reach = ReachOfFeeds();
+  steering_.quiet_domains = QuietDomains(reach, settings_.failure_domain);
+  bool is_cut_off =
+      steering_.is_complete && IsCutOff(reach, settings_.failure_domain);
   if (is_cut_off != steering_.is_cut_off) {
     steering_.is_cut_off = is_cut_off;
     LogEvent(Weight::kNotable, "reach_changed", {{"is_cut_off", is_cut_off}});
--- a/lib/Node/feed_choice.cc
+++ b/lib/Node/feed_choice.cc
@@ -43,6 +43,22 @@
   });
 }
 
+std::set<std::string> QuietDomains(std::span<const FeedReach> feeds,
+                                   std::string_view own_domain) {
+  std::set<std::string> quiet;
+  for (const auto& feed : feeds) {
+    if (!feed.failure_domain.empty() && feed.failure_domain != own_domain) {
+      quiet.insert(feed.failure_domain);
+    }
+  }
+  for (const auto& feed : feeds) {
+    if (feed.is_heard) {
+      quiet.erase(feed.failure_domain);
+    }
+  }
+  return quiet;
+}
+
 bool UpdatePlan(FeedPlan& plan,
                 size_t chosen,
                 size_t current_chosen,
--- a/lib/Steering/tag_steering.cc
+++ b/lib/Steering/tag_steering.cc
@@ -133,9 +133,21 @@
       std::min(reachability.avoid_time * 2, kAvoidTimeMax);
 }
 
+const std::string& DomainNameOf(const TagSteering& steering,
+                                const TagUpstream& upstream) {
+  return steering.directory.entries.at(upstream.id).record.failure_domain;
+}
+
 Reachability& DomainOf(TagSteering& steering, const TagUpstream& upstream) {
-  const auto& record = steering.directory.entries.at(upstream.id).record;
-  return steering.domains[record.failure_domain];
+  return steering.domains[DomainNameOf(steering, upstream)];
+}
+
+// Openings without an answer that a failure domain is allowed.
+uint32_t MaxUnansweredInDomain(const TagSteering& steering,
+                               const TagUpstream& upstream) {
+  bool is_quiet =
+      steering.quiet_domains.contains(DomainNameOf(steering, upstream));
+  return is_quiet ? kMaxUnansweredInQuietDomain : kMaxUnansweredInDomain;
 }
 
 void OnAnswered(TagSteering& steering, TagUpstream& upstream) {
@@ -146,7 +158,8 @@
 void OnUnanswered(TagSteering& steering, TagUpstream& upstream, Instant now) {
   ++steering.counts.unanswered;
   CountUnanswered(upstream.reachability, kMaxUnanswered, now);
-  CountUnanswered(DomainOf(steering, upstream), kMaxUnansweredInDomain, now);
+  CountUnanswered(DomainOf(steering, upstream),
+                  MaxUnansweredInDomain(steering, upstream), now);
 }
 
 void CountAnswer(TagCounts& counts, Duration time) {
@@ -204,7 +217,8 @@
     upstream.cold_gate.tokens -= 1;
   }
   HoldBackOthers(upstream.reachability, kMaxUnanswered, now);
-  HoldBackOthers(DomainOf(steering, upstream), kMaxUnansweredInDomain, now);
+  HoldBackOthers(DomainOf(steering, upstream),
+                 MaxUnansweredInDomain(steering, upstream), now);
   return Forward(upstream, TagReason::kPlaced);
 }
 
--- a/unittests/Node/feed_choice_test.cc
+++ b/unittests/Node/feed_choice_test.cc
@@ -76,6 +76,14 @@
   BOOST_TEST(IsCutOff(feeds, "d4"));
 }
 
+BOOST_AUTO_TEST_CASE(ADomainIsQuietWhereNoneOfItsHostsIsHeard) {
+  std::vector<FeedReach> feeds{
+      {"d1", false}, {"d2", false}, {"d2", true}, {"d3", false}, {"", false}};
+  BOOST_TEST((QuietDomains(feeds, "d1") == std::set<std::string>{"d3"}));
+  feeds[2].is_heard = false;
+  BOOST_TEST((QuietDomains(feeds, "d1") == std::set<std::string>{"d2", "d3"}));
+}
+
 BOOST_AUTO_TEST_CASE(AnElectionIsNoReasonToTryAll) {
   FeedPlan plan;
   UpdatePlan(plan, 3, 0, kStart);
--- a/unittests/Steering/tag_steering_test.cc
+++ b/unittests/Steering/tag_steering_test.cc
@@ -330,6 +330,29 @@
   BOOST_TEST(to_south <= 12);
 }
 
+// A domain is cut off from this host, whose own one is taken out: half of the
+// new flows go there. Its control hosts are not heard, so that the first flow
+// without an answer is enough.
+BOOST_AUTO_TEST_CASE(AQuietDomainIsAvoidedAfterOneUnansweredOpening) {
+  auto steering = MakeSteering();
+  auto view = MakeView(2);
+  view.domains_out = {"north"};
+  OnView(steering, view);
+  for (directory::UpstreamId id = 7; id <= 9; ++id) {
+    OnRecord(steering, 0, MakeRecord(id, "east"), kStart);
+  }
+  steering.quiet_domains = {"south"};
+  auto opening = MakeOpening(10);
+  while (OnOpening(steering, opening, kStart).upstream >= 7) {
+    ++opening.flow.caller.address;
+  }
+  opening.copy = 1;
+  Instant now = kStart + milliseconds(200);
+  BOOST_TEST(OnOpening(steering, opening, now).upstream >= 7U);
+  auto counts = OpenFlows(steering, 300, 60, now);
+  BOOST_TEST(counts[4] + counts[5] + counts[6] == 0);
+}
+
 BOOST_AUTO_TEST_CASE(ACutOffHostUsesItsOwnDomain) {
   auto steering = MakeSteering();
   BOOST_TEST(RemotePart(steering, kStart) == 0);
