--- a/include/acaciahold/Consensus/replica.h
+++ b/include/acaciahold/Consensus/replica.h
@@ -146,6 +146,14 @@
 ReadTicket StartRead(Replica& replica, Instant now);
 ReadStatus CheckRead(const Replica& replica, Term term, uint64_t round);
 
+struct LogSize {
+  size_t entries = 0;
+  size_t bytes = 0;  // Of payloads.
+};
+
+// The part of the log that Compact would drop.
+LogSize AppliedLogSize(const Replica& replica);
+
 // Drops the applied part of the log, which `data` stands for.
 Output Compact(Replica& replica, std::string data);
 
--- a/include/acaciahold/Link/session.h
+++ b/include/acaciahold/Link/session.h
@@ -66,7 +66,6 @@
   size_t queued_bytes_ = 0;  // Invariant: the sum over queue_.
   bool is_writing_ = false;
   bool is_closed_ = false;
-  bool has_sent_ = false;  // Since the last look.
   std::chrono::steady_clock::time_point heard_at_;
 };
 
--- a/include/acaciahold/Node/group_shell.h
+++ b/include/acaciahold/Node/group_shell.h
@@ -26,8 +26,10 @@
 
 namespace acaciahold::node {
 
-// Above this the log is replaced by a snapshot.
+// Above either, the log is replaced by a snapshot. A start reads the log before
+// anything else, and callers may wait for it.
 inline constexpr size_t kMaxLogEntries = 64;
+inline constexpr size_t kMaxLogBytes = 256U << 10U;
 // A stopped replica tries its disk again after so long.
 inline constexpr std::chrono::milliseconds kDiskRetryInterval{500};
 
--- a/lib/Consensus/replica.cc
+++ b/lib/Consensus/replica.cc
@@ -736,6 +736,15 @@
              : ReadStatus::kWaiting;
 }
 
+LogSize AppliedLogSize(const Replica& replica) {
+  LogSize size;
+  size.entries = replica.applied - replica.snapshot.index;
+  for (size_t i = 0; i < size.entries; ++i) {
+    size.bytes += replica.entries[i].payload.size();
+  }
+  return size;
+}
+
 Output Compact(Replica& replica, std::string data) {
   Output output;
   if (replica.applied <= replica.snapshot.index) {
--- a/lib/Link/session.cc
+++ b/lib/Link/session.cc
@@ -98,7 +98,6 @@
     Close();
     return;
   }
-  has_sent_ = true;
   queued_bytes_ += frame.size();
   queue_.push_back(std::move(frame));
   if (!is_writing_) {
@@ -124,10 +123,8 @@
 }
 
 void Session::CheckLiveness() {
-  if (!has_sent_) {
-    Enqueue(MakeFrame({}));
-  }
-  has_sent_ = false;
+  // Also where something was sent of late: a peer counts from the last word.
+  Enqueue(MakeFrame({}));
   timer_.expires_after(kKeepAliveInterval);
   timer_.async_wait([self = shared_from_this()](error_code ec) {
     if (ec || self->is_closed_) {
--- a/lib/Node/group_shell.cc
+++ b/lib/Node/group_shell.cc
@@ -255,7 +255,8 @@
 }
 
 void GroupShell::CompactIfDue() {
-  if (replica_.applied < replica_.snapshot.index + kMaxLogEntries) {
+  auto size = consensus::AppliedLogSize(replica_);
+  if (size.entries < kMaxLogEntries && size.bytes < kMaxLogBytes) {
     return;
   }
   auto output = consensus::Compact(replica_, handlers_.snapshot());
--- a/unittests/Consensus/replica_test.cc
+++ b/unittests/Consensus/replica_test.cc
@@ -35,6 +35,26 @@
 
 }  // namespace
 
+// What a start reads is bounded by it.
+BOOST_AUTO_TEST_CASE(TheSizeOfTheAppliedLogFallsWithASnapshot) {
+  StartState start;
+  start.id = 1;
+  start.snapshot.members = {{1, {1, 1}, true, 0}};
+  Instant now = FromUnixMillis(1'000'000);
+  auto replica = StartReplica(std::move(start), now);
+  OnTick(replica, now + kElectionTimeoutMax);
+  BOOST_REQUIRE(replica.role == Role::kLeader);
+  auto before = AppliedLogSize(replica);
+  Propose(replica, std::string(1'000, 'a'), now);
+  Propose(replica, std::string(500, 'b'), now);
+  auto after = AppliedLogSize(replica);
+  BOOST_TEST(after.entries == before.entries + 2);
+  BOOST_TEST(after.bytes == before.bytes + 1'500);
+  Compact(replica, "state");
+  BOOST_TEST(AppliedLogSize(replica).bytes == 0U);
+  BOOST_TEST(AppliedLogSize(replica).entries == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(CheckerTakesAGoodHistory) {
   BOOST_TEST(CheckHistory(GoodHistory()) == "");
 }
