--- a/include/acaciahold/Steering/tag_steering.h
+++ b/include/acaciahold/Steering/tag_steering.h
@@ -125,6 +125,7 @@
   std::array<uint64_t, kAnswerBounds.size() + 1> answers{};
   double answer_seconds = 0;
   uint64_t unanswered = 0;
+  uint64_t repeated = 0;  // Data that came before.
 };
 
 struct TagUpstream {
@@ -148,6 +149,8 @@
   bool is_answered = false;
 };
 
+// Slots for the last data of recent flows, by hash, as for openings.
+inline constexpr size_t kRecentData = 2'048;
 // Slots for recent openings, by hash; a newer one takes the place of an older.
 inline constexpr size_t kRecentOpenings = 2'048;
 
@@ -182,6 +185,8 @@
   // Invariant: size kRecentOpenings.
   std::vector<RecentOpening> recent;
   std::deque<uint32_t> awaiting;  // Slots of `recent`, oldest first.
+  // Invariant: size kRecentData. A hash of flow and sequence number each.
+  std::vector<uint64_t> recent_data;
   std::vector<PlacementCandidate*> scratch_candidates;
   std::vector<TagUpstream*> scratch_upstreams;
 };
@@ -218,6 +223,11 @@
                       const Opening& opening,
                       Instant now);
 
+// Data of an open flow, before OnTagged decides on its packet. Returns whether
+// it is repeated: its sender had no word of the first within its time, since
+// that was lost, or its upstream is slow or dead.
+bool OnData(TagSteering& steering, const TaggedFlow& flow, uint32_t sequence);
+
 // A later packet of a flow. `requests` is 1 for a packet that carries data.
 TagDecision OnTagged(TagSteering& steering,
                      const TaggedFlow& flow,
--- a/lib/Node/node_metrics.cc
+++ b/lib/Node/node_metrics.cc
@@ -66,6 +66,9 @@
   families.Begin("acaciahold_openings_unanswered_total",
                  "New flows that did not open at their upstream in time");
   families.Add(steering.counts.unanswered);
+  families.Begin("acaciahold_requests_repeated_total",
+                 "Data of open flows that callers sent again");
+  families.Add(steering.counts.repeated);
   families.Begin("acaciahold_packets_received_total", "Packets of callers");
   families.Add(port.received());
   families.Begin("acaciahold_packets_sent_total", "Packets sent on");
--- a/lib/Steering/tag_steering.cc
+++ b/lib/Steering/tag_steering.cc
@@ -234,6 +234,7 @@
   steering.failure_domain = std::move(failure_domain);
   steering.random.seed(seed);
   steering.recent.resize(kRecentOpenings);
+  steering.recent_data.resize(kRecentData);
   return steering;
 }
 
@@ -331,6 +332,16 @@
   return decision;
 }
 
+bool OnData(TagSteering& steering, const TaggedFlow& flow, uint32_t sequence) {
+  uint64_t flow_hash = HashFlow(flow);
+  uint64_t data_hash = CombineHashes(flow_hash, sequence);
+  auto& last = steering.recent_data[flow_hash % kRecentData];
+  bool is_repeated = last == data_hash;
+  last = data_hash;
+  steering.counts.repeated += is_repeated ? 1 : 0;
+  return is_repeated;
+}
+
 TagDecision OnTagged(TagSteering& steering,
                      const TaggedFlow& flow,
                      Tag tag,
--- a/unittests/Steering/tag_steering_test.cc
+++ b/unittests/Steering/tag_steering_test.cc
@@ -124,6 +124,16 @@
   BOOST_CHECK(decision.verdict == TagVerdict::kDrop);
 }
 
+BOOST_AUTO_TEST_CASE(TheSameDataAgainIsRepeated) {
+  auto steering = MakeSteering();
+  auto flow = MakeOpening(1).flow;
+  BOOST_TEST(!OnData(steering, flow, 100));
+  BOOST_TEST(!OnData(steering, MakeOpening(2).flow, 100));
+  BOOST_TEST(!OnData(steering, flow, 200));
+  BOOST_TEST(OnData(steering, flow, 200));
+  BOOST_TEST(steering.counts.repeated == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(CopiesGoWhereTheFirstWent) {
   auto steering = MakeSteering();
   auto first = OnOpening(steering, MakeOpening(1), kStart);
