Tell the story of a flow from the logs of all hosts

Cause: on-call engineers had lines and no way from a request's connection to its cause; 4 routine lines a second left most flows out of the logs. Change: acaciahold explain puts together what hosts decided on a flow, what they believed then and how old that was, and what became known after, and names a cause. 64 routine lines a kind a second; a budget of bytes that leaves half to notable lines; a line lines_left_out tells what is missing by kind. Log lines count from the steady clock. Settings log_routine_lines and log_notable_lines. Tests: line_budget_test, story_test; end to end, with real processes, logs and metrics alone: a caller turned away, a lost upstream, a slow one; and output that nobody reads, where the counts of written and left-out lines add up to the metric.

--- a/cmake/Layers.cmake
+++ b/cmake/Layers.cmake
@@ -3,7 +3,7 @@
 set(ACACIAHOLD_LAYERS
     Support Json Yaml Observe Packet Table Catalog Directory Config Consensus
     Storage Membership Upstream Admission Steering Wire Link Entry Request Http
-    Node Host Operator)
+    Node Explain Host Operator)
 
 function(acaciahold_library name)
   cmake_parse_arguments(ARG "" "" "USES;LINKS" ${ARGN})
--- a/include/acaciahold/Node/node_settings.h
+++ b/include/acaciahold/Node/node_settings.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "acaciahold/Observe/line_budget.h"
 #include "acaciahold/Support/address.h"
 #include "acaciahold/Support/error.h"
 #include "acaciahold/Support/time.h"
@@ -30,6 +31,7 @@
   Duration announcement_interval{};
   // After SIGTERM the process ends within this.
   Duration grace{};
+  observe::LineLimits log_limits;
 
   // Entry hosts.
   Endpoint packets;      // UDP: callers' packets.
--- a/lib/Node/control_node.cc
+++ b/lib/Node/control_node.cc
@@ -103,6 +103,7 @@
 
 void ControlNode::Tick() {
   Instant now = ReadClock();
+  observe::FlushEventLog();
   if (!refreshes_.refreshments.empty()) {
     SendToControlHosts(std::exchange(refreshes_, {}));
   }
--- a/lib/Node/entry_node.cc
+++ b/lib/Node/entry_node.cc
@@ -59,6 +59,7 @@
 
 void EntryNode::Tick() {
   Instant now = ReadClock();
+  observe::FlushEventLog();
   steering::OnTick(steering_, now);
   DropLostFeeds(now);
   GreetFeeds(now);
@@ -257,6 +258,7 @@
                 {"service", record.service},
                 {"endpoint", FormatEndpoint(record.endpoint)},
                 {"phase", directory::PhaseName(record.phase)},
+                {"born_ms", record.born_ms},
                 {"sequence", record.sequence},
                 {"cold_ms", record.cold_ms}});
     }
--- a/lib/Node/node_settings.cc
+++ b/lib/Node/node_settings.cc
@@ -17,6 +17,7 @@
 constexpr double kMaxLinkMbps = 1e6;
 constexpr UnsignedRange kPortRange{1, 65'535};
 constexpr UnsignedRange kIntervalMsRange{10, 600'000};
+constexpr UnsignedRange kLinesRange{0, 10'000};
 
 void ReadSeeds(FieldReader& reader, NodeSettings& settings) {
   for (const auto& text : reader.TextList("seeds")) {
@@ -67,6 +68,17 @@
   }
 }
 
+// Lines of one kind a second; 0 for none.
+void ReadLogLimits(FieldReader& reader, observe::LineLimits& limits) {
+  auto read = [&](std::string_view key, uint32_t preset) {
+    return reader.Has(key) ? static_cast<uint32_t>(
+                                 reader.Unsigned(key, kLinesRange).value_or(0))
+                           : preset;
+  };
+  limits.routine_lines = read("log_routine_lines", limits.routine_lines);
+  limits.notable_lines = read("log_notable_lines", limits.notable_lines);
+}
+
 Duration ReadMillis(FieldReader& reader, std::string_view key) {
   return std::chrono::milliseconds(
       reader.Unsigned(key, kIntervalMsRange).value_or(0));
@@ -87,12 +99,22 @@
   root.CheckKeys(kRootKeys);
   NodeSettingsFile file;
   if (auto reader = root.Mapping("node")) {
-    constexpr std::array<std::string_view, 14> kKeys{
-        "name",        "failure_domain", "role",
-        "address",     "seeds",          "link_port",
-        "packets",     "ready",          "admin",
-        "data_folder", "founds_group",   "announcement_interval_ms",
-        "grace_ms",    "link_mbps"};
+    constexpr std::array<std::string_view, 16> kKeys{"name",
+                                                     "failure_domain",
+                                                     "role",
+                                                     "address",
+                                                     "seeds",
+                                                     "link_port",
+                                                     "packets",
+                                                     "ready",
+                                                     "admin",
+                                                     "data_folder",
+                                                     "founds_group",
+                                                     "announcement_interval_ms",
+                                                     "grace_ms",
+                                                     "link_mbps",
+                                                     "log_routine_lines",
+                                                     "log_notable_lines"};
     reader->CheckKeys(kKeys);
     auto& settings = file.settings;
     settings.name = reader->Text("name").value_or("");
@@ -103,6 +125,7 @@
     settings.announcement_interval =
         ReadMillis(*reader, "announcement_interval_ms");
     settings.grace = ReadMillis(*reader, "grace_ms");
+    ReadLogLimits(*reader, settings.log_limits);
     ReadSeeds(*reader, settings);
     ReadRole(*reader, settings);
   }
--- a/lib/Observe/event_log.cc
+++ b/lib/Observe/event_log.cc
@@ -3,10 +3,8 @@
 #include "acaciahold/Observe/event_log.h"
 
 #include <cerrno>
-#include <chrono>
-#include <functional>
-#include <map>
 #include <mutex>
+#include <utility>
 
 #include <boost/json/serialize.hpp>
 #include <fcntl.h>
@@ -15,19 +13,10 @@
 namespace acaciahold::observe {
 namespace {
 
-using SteadyClock = std::chrono::steady_clock;
-
-// Lines of one kind since its second began.
-struct Budget {
-  SteadyClock::time_point second_end;
-  uint32_t written = 0;
-  uint64_t left_out = 0;  // Not yet reported.
-};
-
 struct EventLog {
   std::mutex mutex;
   std::string host;
-  std::map<std::string, Budget, std::less<>> budgets;
+  LineBudget budget;
   std::string unwritten;  // The rest of a line that was written in part.
 };
 
@@ -36,11 +25,6 @@
   return log;
 }
 
-int64_t UnixMillis() {
-  auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-}
-
 // Writes what the pipe takes; returns false where it takes nothing.
 bool WriteSome(EventLog& log) {
   while (!log.unwritten.empty()) {
@@ -56,12 +40,41 @@
   return true;
 }
 
+// Returns false where the line could not be written.
+bool WriteLine(EventLog& log,
+               std::string_view event,
+               boost::json::object fields) {
+  if (!WriteSome(log)) {
+    OnNotWritten(log.budget, event);
+    return false;
+  }
+  boost::json::object line{{"at_ms", ToUnixMillis(ReadClock())},
+                           {"host", log.host},
+                           {"event", event}};
+  line.insert(fields.begin(), fields.end());
+  log.unwritten = boost::json::serialize(line) + "\n";
+  OnWritten(log.budget, event, log.unwritten.size());
+  WriteSome(log);
+  return true;
+}
+
+void TellLeftOut(EventLog& log, Instant now) {
+  for (const auto& it : TakeLeftOut(log.budget, now)) {
+    bool is_told = WriteLine(log, "lines_left_out",
+                             {{"of", it.event}, {"lines", it.lines}});
+    if (!is_told) {
+      log.budget.kinds[it.event].left_out += it.lines;
+    }
+  }
+}
+
 }  // namespace
 
-void OpenEventLog(std::string_view host) {
+void OpenEventLog(std::string_view host, const LineLimits& limits) {
   auto& log = Log();
   std::lock_guard lock(log.mutex);
   log.host = host;
+  log.budget.limits = limits;
   int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
   if (flags >= 0) {
     ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
@@ -73,32 +86,17 @@
               boost::json::object fields) {
   auto& log = Log();
   std::lock_guard lock(log.mutex);
-  auto it = log.budgets.find(event);
-  if (it == log.budgets.end()) {
-    it = log.budgets.emplace(std::string(event), Budget()).first;
-  }
-  auto& budget = it->second;
-  auto now = SteadyClock::now();
-  if (now >= budget.second_end) {
-    budget.second_end = now + std::chrono::seconds(1);
-    budget.written = 0;
-  }
-  uint32_t most = weight == Weight::kRoutine ? kRoutineLinesPerSecond
-                                             : kNotableLinesPerSecond;
-  if (budget.written >= most || !WriteSome(log)) {
-    ++budget.left_out;
-    return;
-  }
-  ++budget.written;
-  boost::json::object line{
-      {"at_ms", UnixMillis()}, {"host", log.host}, {"event", event}};
-  line.insert(fields.begin(), fields.end());
-  if (budget.left_out > 0) {
-    line["left_out_before"] = budget.left_out;
-    budget.left_out = 0;
+  Instant now = ReadClock();
+  TellLeftOut(log, now);
+  if (MayWrite(log.budget, weight, event, now)) {
+    WriteLine(log, event, std::move(fields));
   }
-  log.unwritten = boost::json::serialize(line) + "\n";
-  WriteSome(log);
+}
+
+void FlushEventLog() {
+  auto& log = Log();
+  std::lock_guard lock(log.mutex);
+  TellLeftOut(log, ReadClock());
 }
 
 }  // namespace acaciahold::observe
--- a/test/standins/child.cc
+++ b/test/standins/child.cc
@@ -10,13 +10,14 @@
 #include <signal.h>
 #include <spawn.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 extern char** environ;
 
 namespace acaciahold::standins {
+namespace {
 
-Child::Child(const std::vector<std::string>& words,
-             const std::string& log_path) {
+pid_t Spawn(const std::vector<std::string>& words, int output) {
   std::vector<char*> argv;
   for (const auto& word : words) {
     argv.push_back(const_cast<char*>(word.c_str()));
@@ -24,17 +25,34 @@
   argv.push_back(nullptr);
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_addopen(&actions, 1, log_path.c_str(),
-                                   O_WRONLY | O_CREAT | O_APPEND, 0600);
-  posix_spawn_file_actions_adddup2(&actions, 1, 2);
+  posix_spawn_file_actions_adddup2(&actions, output, 1);
+  posix_spawn_file_actions_adddup2(&actions, output, 2);
+  pid_t pid = -1;
   int code =
-      posix_spawn(&pid_, argv[0], &actions, nullptr, argv.data(), environ);
+      posix_spawn(&pid, argv[0], &actions, nullptr, argv.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
   if (code != 0) {
     throw std::runtime_error("can't start " + words[0]);
   }
+  return pid;
 }
 
+}  // namespace
+
+Child::Child(const std::vector<std::string>& words,
+             const std::string& log_path) {
+  int output =
+      ::open(log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+  if (output < 0) {
+    throw std::runtime_error("can't write " + log_path);
+  }
+  pid_ = Spawn(words, output);
+  ::close(output);
+}
+
+Child::Child(const std::vector<std::string>& words, int output)
+    : pid_(Spawn(words, output)) {}
+
 Child::Child(Child&& other) noexcept : pid_(std::exchange(other.pid_, -1)) {}
 
 Child& Child::operator=(Child&& other) noexcept {
--- a/test/standins/child.h
+++ b/test/standins/child.h
@@ -14,6 +14,8 @@
  public:
   // Starts the program; its output goes to `log_path`.
   Child(const std::vector<std::string>& words, const std::string& log_path);
+  // The same with its output going to an open descriptor.
+  Child(const std::vector<std::string>& words, int output);
   Child(Child&& other) noexcept;
   Child& operator=(Child&& other) noexcept;
   Child(const Child&) = delete;
@@ -26,6 +28,7 @@
   int Wait();
 
   bool is_running() const { return pid_ > 0; }
+  pid_t pid() const { return pid_; }
 
  private:
   pid_t pid_ = -1;  // -1 after the end was seen.
--- a/test/standins/node_fleet.cc
+++ b/test/standins/node_fleet.cc
@@ -9,6 +9,8 @@
 #include <stdexcept>
 
 #include <boost/asio/co_spawn.hpp>
+#include <fcntl.h>
+#include <unistd.h>
 
 namespace acaciahold::standins {
 namespace {
@@ -55,10 +57,21 @@
   for (int i = 0; i < options_.entry_hosts; ++i) {
     hosts_.push_back({Kind::kEntry, i, ++next_address_, false, nullptr});
   }
+  if (options_.has_unread_logs && ::pipe2(log_pipe_.data(), O_CLOEXEC) != 0) {
+    throw std::runtime_error("can't make a pipe");
+  }
   seeds_ = ControlEndpoints();
   seeds_.resize(std::min<size_t>(seeds_.size(), 3));
 }
 
+NodeFleet::~NodeFleet() {
+  for (int fd : log_pipe_) {
+    if (fd >= 0) {
+      ::close(fd);
+    }
+  }
+}
+
 Endpoint NodeFleet::At(int group, int index, uint16_t port) const {
   return {(127U << 24U) | (static_cast<uint32_t>(options_.network) << 16U) |
               (static_cast<uint32_t>(group) << 8U) |
@@ -122,14 +135,49 @@
 
 void NodeFleet::StartHost(Kind kind, int index) {
   auto& host = Find(kind, index);
-  std::string name = options_.folder +
-                     (kind == Kind::kEntry ? "/entry-" : "/control-") +
-                     std::to_string(index);
-  std::ofstream(name + ".yaml") << Settings(host);
-  host.process = std::make_unique<Child>(
-      std::vector<std::string>{options_.binary, "run", "--config",
-                               name + ".yaml"},
-      name + ".log");
+  auto settings = PathOf(host, ".yaml");
+  std::ofstream(settings) << Settings(host);
+  std::vector<std::string> words{options_.binary, "run", "--config", settings};
+  host.process = options_.has_unread_logs
+                     ? std::make_unique<Child>(words, log_pipe_[1])
+                     : std::make_unique<Child>(words, PathOf(host, ".log"));
+}
+
+std::string NodeFleet::PathOf(const Host& host,
+                              const std::string& suffix) const {
+  return options_.folder +
+         (host.kind == Kind::kEntry ? "/entry-" : "/control-") +
+         std::to_string(host.index) + suffix;
+}
+
+std::vector<std::string> NodeFleet::LogPaths() const {
+  std::vector<std::string> paths;
+  for (const auto& host : hosts_) {
+    paths.push_back(PathOf(host, ".log"));
+  }
+  return paths;
+}
+
+size_t NodeFleet::MemoryOf(Kind kind, int index) const {
+  const auto& process = Find(kind, index).process;
+  std::ifstream in("/proc/" + std::to_string(process->pid()) + "/statm");
+  size_t total = 0;
+  size_t resident = 0;
+  in >> total >> resident;
+  return resident * static_cast<size_t>(::sysconf(_SC_PAGESIZE));
+}
+
+std::optional<std::string> NodeFleet::Metrics(Kind kind,
+                                              int index,
+                                              milliseconds timeout) {
+  bool is_entry = kind == Kind::kEntry;
+  auto at = At(is_entry ? kEntryGroup : kControlGroup,
+               Find(kind, index).address, is_entry ? kReadyPort : kAdminPort);
+  auto result = Fetch(at, http::Request(http::Verb::get, "/metrics", 11),
+                      ReadClock() + Duration(timeout));
+  return result.end == http::FetchEnd::kAnswer
+             ? std::optional(result.response.body())
+             : std::nullopt;
 }
 
 void NodeFleet::Signal(Kind kind, int index, int number) {
@@ -188,6 +236,19 @@
   io_.run_for(time);
 }
 
+http::FetchResult NodeFleet::Fetch(Endpoint to,
+                                   http::Request request,
+                                   Instant deadline) {
+  std::optional<http::FetchResult> result;
+  asio::co_spawn(
+      io_, client_.Fetch(to, std::move(request), deadline),
+      [&](std::exception_ptr, http::FetchResult r) { result = std::move(r); });
+  while (!result) {
+    RunFor(milliseconds(5));
+  }
+  return std::move(*result);
+}
+
 std::optional<http::Response> NodeFleet::Call(http::Verb verb,
                                               const std::string& target,
                                               const std::string& body,
@@ -200,27 +261,19 @@
     auto to = redirect.value_or(controls[next_control_ % controls.size()]);
     http::Request request(verb, target, 11);
     request.body() = body;
-    std::optional<http::FetchResult> result;
-    asio::co_spawn(io_,
-                   client_.Fetch(to, std::move(request),
-                                 ReadClock() + Duration(kCallTimeout)),
-                   [&](std::exception_ptr, http::FetchResult r) {
-                     result = std::move(r);
-                   });
-    while (!result) {
-      RunFor(milliseconds(5));
-    }
+    auto result =
+        Fetch(to, std::move(request), ReadClock() + Duration(kCallTimeout));
     redirect.reset();
-    bool is_answer = result->end == http::FetchEnd::kAnswer;
+    bool is_answer = result.end == http::FetchEnd::kAnswer;
     if (is_answer &&
-        result->response.result() == http::Status::temporary_redirect) {
-      redirect = ++redirects <= kMaxRedirects ? RedirectedTo(result->response)
+        result.response.result() == http::Status::temporary_redirect) {
+      redirect = ++redirects <= kMaxRedirects ? RedirectedTo(result.response)
                                               : std::nullopt;
       if (redirect) {
         continue;
       }
-    } else if (is_answer && result->response.result_int() < 500) {
-      return std::move(result->response);
+    } else if (is_answer && result.response.result_int() < 500) {
+      return std::move(result.response);
     }
     redirects = 0;
     ++next_control_;
--- a/test/standins/node_fleet.h
+++ b/test/standins/node_fleet.h
@@ -4,6 +4,7 @@
 #ifndef ACACIAHOLD_TEST_STANDINS_NODE_FLEET_H_
 #define ACACIAHOLD_TEST_STANDINS_NODE_FLEET_H_
 
+#include <array>
 #include <memory>
 #include <optional>
 #include <string>
@@ -24,6 +25,8 @@
   int network = 21;  // 127.NETWORK.0.0/16.
   int entry_hosts = 3;
   int control_hosts = 3;
+  // The output of all hosts goes to one pipe, which nobody reads.
+  bool has_unread_logs = false;
 };
 
 class NodeFleet {
@@ -31,6 +34,9 @@
   enum class Kind { kEntry, kControl };
 
   NodeFleet(boost::asio::io_context& io, FleetOptions options);
+  NodeFleet(const NodeFleet&) = delete;
+  NodeFleet& operator=(const NodeFleet&) = delete;
+  ~NodeFleet();
 
   void StartAll();
   void StartHost(Kind kind, int index);
@@ -43,6 +49,17 @@
   // Gives control host `index` another address, and an empty disk.
   void ReplaceControl(int index);
 
+  // The logs of all hosts.
+  std::vector<std::string> LogPaths() const;
+  // The pipe of FleetOptions::has_unread_logs.
+  int unread_logs() const { return log_pipe_[0]; }
+  // Resident memory of a running host, in bytes.
+  size_t MemoryOf(Kind kind, int index) const;
+  // The metrics of a running host; nothing within the timeout.
+  std::optional<std::string> Metrics(Kind kind,
+                                     int index,
+                                     std::chrono::milliseconds timeout);
+
   std::vector<Fabric::EntryHost> EntryHosts() const;
   std::vector<Endpoint> ControlEndpoints() const;
   uint16_t callers_port() const;
@@ -74,7 +91,9 @@
   Host& Find(Kind kind, int index);
   const Host& Find(Kind kind, int index) const;
   std::string Settings(const Host& host) const;
+  std::string PathOf(const Host& host, const std::string& suffix) const;
   std::string DiskOf(const Host& host) const;
+  http::FetchResult Fetch(Endpoint to, http::Request request, Instant deadline);
   std::optional<http::Response> Call(http::Verb verb,
                                      const std::string& target,
                                      const std::string& body,
@@ -85,6 +104,7 @@
   http::Client client_;
   std::vector<Host> hosts_;
   std::vector<Endpoint> seeds_;
+  std::array<int, 2> log_pipe_{-1, -1};
   size_t next_control_ = 0;
   int next_address_ = 0;
 };
--- a/test/standins/packet_world.cc
+++ b/test/standins/packet_world.cc
@@ -35,6 +35,8 @@
 constexpr milliseconds kRepeatMin{200};
 constexpr milliseconds kRepeatMax{1'600};
 constexpr milliseconds kRequestTimeout{8'000};
+// An answer after it is late.
+constexpr milliseconds kLateTime{1'000};
 constexpr milliseconds kPauseOfLongFlows{60};
 constexpr milliseconds kCallerTick{10};
 constexpr milliseconds kProbeInterval{500};
@@ -207,6 +209,20 @@
          {head.flow.caller.address, options_.callers_port});
 }
 
+void PacketUpstream::ReplyLater(const platform::PacketHead& head) {
+  uint32_t acknowledged = head.sequence + head.data_bytes;
+  if (delay_ == milliseconds(0)) {
+    Reply(head, kAck, acknowledged, kAnswerBytes);
+    return;
+  }
+  auto timer = std::make_shared<asio::steady_timer>(io_, delay_);
+  timer->async_wait([this, timer, head, acknowledged, lives = lives_](auto) {
+    if (*lives) {
+      Reply(head, kAck, acknowledged, kAnswerBytes);
+    }
+  });
+}
+
 void PacketUpstream::OnPacket(std::span<const std::byte> datagram,
                               const std::string& entry_host) {
   if (datagram.size() < platform::kUpstreamIdBytes) {
@@ -245,7 +261,7 @@
     ended_flows_.insert(key);
   } else if (head->data_bytes > 0) {
     ++requests_;
-    Reply(*head, kAck, head->sequence + head->data_bytes, kAnswerBytes);
+    ReplyLater(*head);
   }
 }
 
@@ -415,10 +431,18 @@
   Send(port, flow, kAck, kRequestBytes);
 }
 
+void PacketCallers::NoteFailure(CallerFailure::Kind kind,
+                                uint16_t port,
+                                Instant now) {
+  failures_.push_back(
+      {kind, {{options_.own.address, port}, options_.listener}, now});
+}
+
 void PacketCallers::OnDue(uint16_t port, Flow& flow, Instant now) {
   if (flow.phase == Phase::kOpening) {
     if (now >= flow.started_at + Duration(kOpeningTimeout)) {
       ++counts_.unopened;
+      NoteFailure(CallerFailure::Kind::kUnopened, port, now);
       flows_.erase(port);
       return;
     }
@@ -434,6 +458,7 @@
   }
   if (now >= flow.started_at + Duration(kRequestTimeout)) {
     ++counts_.given_up;
+    NoteFailure(CallerFailure::Kind::kGivenUp, port, now);
     flows_.erase(port);
     return;
   }
@@ -456,6 +481,9 @@
                   : is_open        ? counts_.reset_while_open
                                    : counts_.refused;
     ++count;
+    if (&count == &counts_.refused) {
+      NoteFailure(CallerFailure::Kind::kRefused, port, now);
+    }
     flows_.erase(it);
     return;
   }
@@ -476,6 +504,9 @@
   if (!is_answer) {
     return;
   }
+  if (now >= flow.started_at + Duration(kLateTime)) {
+    NoteFailure(CallerFailure::Kind::kLate, port, now);
+  }
   ++counts_.answered;
   ++flow.requests;
   flow.is_waiting = false;
--- a/test/standins/packet_world.h
+++ b/test/standins/packet_world.h
@@ -64,6 +64,8 @@
   void Drain() { is_draining_ = true; }
   void Leave();  // Says so, and is gone.
   void Crash();  // Is gone without a word.
+  // Answers each request so much later from now on.
+  void SlowDown(std::chrono::milliseconds delay) { delay_ = delay; }
 
   const Options& options() const { return options_; }
   bool is_running() const { return is_running_; }
@@ -89,6 +91,7 @@
              uint8_t flags,
              uint32_t acknowledged,
              uint16_t data_bytes);
+  void ReplyLater(const platform::PacketHead& head);
   std::string MakeAnnouncement();
 
   boost::asio::io_context& io_;
@@ -98,6 +101,7 @@
   std::shared_ptr<bool> lives_;
   bool is_running_ = false;
   bool is_draining_ = false;
+  std::chrono::milliseconds delay_{0};
   uint64_t sequence_ = 0;
   size_t control_index_ = 0;
   std::optional<Instant> drain_ack_;
@@ -153,6 +157,14 @@
   uint64_t given_up = 0;  // No answer to a request.
 };
 
+// A request, or an attempt to open a flow, that went wrong for its caller.
+struct CallerFailure {
+  enum class Kind { kRefused, kUnopened, kGivenUp, kLate };
+  Kind kind = Kind::kRefused;
+  steering::TaggedFlow flow;
+  Instant at;
+};
+
 // Callers at one address: keeps so many long flows open with requests on them,
 // and opens short flows of one request one after the other.
 class PacketCallers {
@@ -170,6 +182,7 @@
   void Start();
   void StopOpening() { is_opening_ = false; }
   const CallerCounts& counts() const { return counts_; }
+  const std::vector<CallerFailure>& failures() const { return failures_; }
 
  private:
   enum class Phase { kOpening, kOpen };
@@ -194,6 +207,7 @@
   void OnPacket(std::span<const std::byte> packet);
   void Send(uint16_t port, const Flow& flow, uint8_t flags, uint16_t data);
   void SendRequest(uint16_t port, Flow& flow, Instant now);
+  void NoteFailure(CallerFailure::Kind kind, uint16_t port, Instant now);
 
   boost::asio::io_context& io_;
   Fabric& fabric_;
@@ -204,6 +218,7 @@
   std::map<uint16_t, Flow> flows_;  // By the caller's port.
   uint16_t next_port_ = 1'024;
   bool is_opening_ = true;
+  std::vector<CallerFailure> failures_;
   CallerCounts counts_;
 };
 
--- a/tools/acaciahold/main.cc
+++ b/tools/acaciahold/main.cc
@@ -3,7 +3,9 @@
 
 #include <fstream>
 #include <iostream>
+#include <iterator>
 #include <random>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -12,6 +14,7 @@
 #include <unistd.h>
 
 #include "acaciahold/Config/settings.h"
+#include "acaciahold/Explain/story.h"
 #include "acaciahold/Host/host.h"
 #include "acaciahold/Node/node_settings.h"
 #include "acaciahold/Operator/commands.h"
@@ -38,6 +41,9 @@
     "  table apply FILE             make the table as FILE says\n"
     "  table history                show accepted edits\n"
     "  status                       show control and entry hosts\n"
+    "  explain --caller IP:PORT [--listener IP:PORT] [--at MS] LOG...\n"
+    "                               the story of a flow, and why it failed;\n"
+    "                               MS: of the failure, Unix milliseconds\n"
     "  control add --replica-id N --admin IP:PORT\n"
     "  control remove --replica-id N\n"
     "\n"
@@ -58,6 +64,9 @@
   std::string admin;
   std::string author;
   std::string edit_id;
+  std::string caller;
+  std::string listener;
+  long at_ms = 0;
   long min_revision = 0;
   int replica_id = 0;
   bool is_json = false;
@@ -85,6 +94,8 @@
   char* admin = nullptr;
   char* author = nullptr;
   char* edit_id = nullptr;
+  char* caller = nullptr;
+  char* listener = nullptr;
   int json = 0;
   int join = 0;
   int no_wait = 0;
@@ -96,6 +107,9 @@
       {"admin", 0, POPT_ARG_STRING, &admin, 0, nullptr, nullptr},
       {"author", 0, POPT_ARG_STRING, &author, 0, nullptr, nullptr},
       {"edit-id", 0, POPT_ARG_STRING, &edit_id, 0, nullptr, nullptr},
+      {"caller", 0, POPT_ARG_STRING, &caller, 0, nullptr, nullptr},
+      {"listener", 0, POPT_ARG_STRING, &listener, 0, nullptr, nullptr},
+      {"at", 0, POPT_ARG_LONG, &words.at_ms, 0, nullptr, nullptr},
       {"min-revision", 0, POPT_ARG_LONG, &words.min_revision, 0, nullptr,
        nullptr},
       {"replica-id", 0, POPT_ARG_INT, &words.replica_id, 0, nullptr, nullptr},
@@ -124,6 +138,8 @@
   words.admin = TextOf(admin);
   words.author = TextOf(author);
   words.edit_id = TextOf(edit_id);
+  words.caller = TextOf(caller);
+  words.listener = TextOf(listener);
   words.is_json = json != 0;
   words.is_join = join != 0;
   words.is_waiting = no_wait == 0;
@@ -300,6 +316,44 @@
   return op::AddControlHost(options, id, *admin);
 }
 
+// Reads all events of the files; nothing where one can't be read.
+std::optional<std::vector<explain::LogLine>> ReadLogs(
+    std::span<const std::string> paths) {
+  std::vector<explain::LogLine> lines;
+  for (const auto& path : paths) {
+    std::ifstream in(path);
+    if (!in) {
+      std::cerr << "acaciahold: " << path << ": can't be read\n";
+      return std::nullopt;
+    }
+    auto file = explain::ReadLogFile(in);
+    if (file.unreadable > 0) {
+      std::cerr << path << ": " << file.unreadable << " lines are no events\n";
+    }
+    std::move(file.lines.begin(), file.lines.end(), std::back_inserter(lines));
+  }
+  return lines;
+}
+
+int RunExplain(const Words& words) {
+  bool is_good = ParseEndpoint(words.caller) &&
+                 (words.listener.empty() || ParseEndpoint(words.listener));
+  if (!is_good || words.commands.size() < 2) {
+    return BadUsage("explain wants --caller IP:PORT and one LOG or more");
+  }
+  auto lines = ReadLogs(std::span(words.commands).subspan(1));
+  if (!lines) {
+    return op::kFailed;
+  }
+  explain::Question question{words.caller, words.listener, std::nullopt};
+  if (words.at_ms > 0) {
+    question.at_ms = words.at_ms;
+  }
+  auto story = explain::Explain(*lines, question);
+  std::cout << explain::FormatStory(story);
+  return story.cause == explain::Cause::kNotSeen ? op::kFailed : op::kDone;
+}
+
 int RunCommand(const Words& words) {
   const auto& command = words.commands.front();
   if (command == "run" || command == "check" || command == "init") {
@@ -311,6 +365,9 @@
     }
     return command == "check" ? Check(words) : Init(words);
   }
+  if (command == "explain") {
+    return RunExplain(words);
+  }
   if (command != "table" && command != "status" && command != "control") {
     return BadUsage("unknown command '" + command + "'");
   }
