--- a/lib/Explain/story.cc
+++ b/lib/Explain/story.cc
@@ -141,9 +141,9 @@
                      });
 }
 
-// Whether a later line tells that an upstream of the flow ended: by its own
-// word, by a later start, or by its silence.
-bool IsUpstreamLost(const Story& story) {
+// Whether a line tells that an upstream of the flow ended, by its own word or
+// by a later start.
+bool HasUpstreamEnded(const Story& story) {
   std::map<int64_t, int64_t> born_before;
   for (const auto& it : story.lines) {
     auto born_ms = NumberOf(it.line, "born_ms");
@@ -153,18 +153,25 @@
   }
   return std::any_of(
       story.lines.begin(), story.lines.end(), [&](const StoryLine& it) {
-        if (it.part != Part::kAftermath) {
-          return false;
-        }
         auto born = born_before.find(NumberOf(it.line, "upstream"));
         bool is_reborn = born != born_before.end() &&
                          NumberOf(it.line, "born_ms") > born->second;
-        return it.line.event == "upstream_silent" || is_reborn ||
-               TextOf(it.line, "phase") == "gone" ||
-               TextOf(it.line, "outcome") == "silent";
+        return it.part != Part::kDecision &&
+               (is_reborn || TextOf(it.line, "phase") == "gone");
       });
 }
 
+// Whether some host did not hear of an upstream any more. Where hosts were cut
+// off from each other, that says little.
+bool IsUpstreamSilent(const Story& story) {
+  return std::any_of(story.lines.begin(), story.lines.end(),
+                     [](const StoryLine& it) {
+                       return it.part != Part::kDecision &&
+                              (it.line.event == "upstream_silent" ||
+                               TextOf(it.line, "outcome") == "silent");
+                     });
+}
+
 bool WasUpstreamCold(const Story& story) {
   return std::any_of(
       story.lines.begin(), story.lines.end(), [](const StoryLine& it) {
@@ -190,12 +197,15 @@
   if (HasOutcome(story, "no_upstream")) {
     return Cause::kNoUpstream;
   }
-  if (IsUpstreamLost(story)) {
+  if (HasUpstreamEnded(story)) {
     return Cause::kUpstreamLost;
   }
   if (WasHostCutOff(story)) {
     return Cause::kHostCutOff;
   }
+  if (IsUpstreamSilent(story)) {
+    return Cause::kUpstreamLost;
+  }
   if (HasOutcome(story, "no_table") || HasOutcome(story, "stalled") ||
       HasOutcome(story, "unknown_tag")) {
     return Cause::kHostStarting;
--- a/unittests/Explain/story_test.cc
+++ b/unittests/Explain/story_test.cc
@@ -112,6 +112,30 @@
   BOOST_TEST(CauseName(Explain(Read(cut), kQuestion).cause) == "host_cut_off");
 }
 
+// A control host on the same side of the partition no longer hears the
+// upstream, which lives on: an incident was first put down to the upstream.
+BOOST_AUTO_TEST_CASE(SilenceBehindAPartitionIsNoLostUpstream) {
+  auto silent =
+      kPlaced +
+      R"({"at_ms":4500,"host":"control-2","event":"upstream_changed","upstream":7,"phase":"serving","born_ms":500,"outcome":"silent"}
+)";
+  auto cut =
+      R"({"at_ms":2400,"host":"entry-1","event":"reach_changed","is_cut_off":true})";
+  BOOST_TEST(CauseName(Explain(Read(silent), kQuestion).cause) ==
+             "upstream_lost");
+  BOOST_TEST(CauseName(Explain(Read(silent + cut), kQuestion).cause) ==
+             "host_cut_off");
+}
+
+BOOST_AUTO_TEST_CASE(AnUpstreamThatWasSilentBeforeIsLost) {
+  auto known = kPlaced;
+  known.insert(known.find(R"({"at_ms":2000)"),
+               "{\"at_ms\":1500,\"host\":\"entry-1\",\"event\":\"upstream_"
+               "silent\",\"upstream\":7}\n");
+  BOOST_TEST(CauseName(Explain(Read(known), kQuestion).cause) ==
+             "upstream_lost");
+}
+
 BOOST_AUTO_TEST_CASE(OtherFlowsOfThePortAreLeftOut) {
   Question question = kQuestion;
   question.at_ms = 200'000;
