Keep flows of a bucket in a flat table

Ruled out: the lock and the plan, which the small table has as well. Change: boost::unordered_flat_map in place of std::unordered_map.

--- a/include/acaciahold/Steering/flow_shard.h
+++ b/include/acaciahold/Steering/flow_shard.h
@@ -15,6 +15,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include <boost/unordered/unordered_flat_map.hpp>
+
 #include "acaciahold/Steering/plan.h"
 #include "acaciahold/Support/time.h"
 
@@ -60,6 +62,10 @@
   bool is_closing = false;
 };
 
+// By fingerprint. Flat: a decision finds its flow with two reads of memory that
+// is not in the cache, also among millions.
+using FlowTable = boost::unordered_flat_map<uint64_t, Flow>;
+
 enum class BucketPhase : uint8_t {
   kEmpty,    // Nothing known yet; this host can't decide.
   kHeld,     // This host is the owner or the backup and knows the bucket.
@@ -88,7 +94,7 @@
   bool was_primary = false;
   // Nobody could tell of the bucket, though its service is not new.
   bool is_blind = false;
-  std::unordered_map<uint64_t, Flow> flows;  // By fingerprint.
+  FlowTable flows;  // By fingerprint.
 };
 
 // A service's buckets of one shard.
--- a/lib/Steering/flow_moves.cc
+++ b/lib/Steering/flow_moves.cc
@@ -239,7 +239,7 @@
       ended.push_back(it->first);
     }
     Release(service, it->second);
-    it = bucket.flows.erase(it);
+    bucket.flows.erase(it++);
     --shard.flow_count;
   }
   return ended;
--- a/lib/Steering/flow_shard.cc
+++ b/lib/Steering/flow_shard.cc
@@ -58,7 +58,7 @@
       .first->second;
 }
 
-void Erase(Context& c, std::unordered_map<uint64_t, Flow>::iterator it) {
+void Erase(Context& c, FlowTable::iterator it) {
   Release(&c.service, it->second);
   c.bucket.flows.erase(it);
   --c.shard.flow_count;
@@ -78,7 +78,7 @@
 }
 
 Decision ContinueFlow(Context& c,
-                      std::unordered_map<uint64_t, Flow>::iterator it) {
+                      FlowTable::iterator it) {
   auto& flow = it->second;
   const auto* target = FindTarget(c.service, flow.upstream);
   if (!target || !target->is_usable) {
