Let the soak cut, silence, reset and delay links, and fill disks

Cause: the soak ended, paused and emptied hosts, and left the network and the disks alone. Change: a proxy on loopback before each control host's links, by a new setting bind_address for hosts behind address translation; files of a control host that take no more bytes. Not done: clocks; hosts use the steady clock, and the time of day only to name the start.

--- a/include/acaciahold/Node/node_settings.h
+++ b/include/acaciahold/Node/node_settings.h
@@ -23,7 +23,9 @@
   std::string name;
   std::string failure_domain;
   NodeRole role = NodeRole::kEntry;
-  uint32_t address = 0;    // Of this host, for links.
+  uint32_t address = 0;    // Of this host, as others reach it for links.
+  // Where it listens for them: another one behind address translation.
+  uint32_t bind_address = 0;
   uint16_t link_port = 0;  // TCP, the same on all control hosts.
   // Operators' endpoints of some control hosts.
   std::vector<Endpoint> seeds;
@@ -44,6 +46,7 @@
   bool founds_group = false;  // At the first start of a deployment.
 
   Endpoint link() const { return {address, link_port}; }
+  Endpoint bound_link() const { return {bind_address, link_port}; }
 };
 
 // Settings, or every fault found.
--- a/lib/Node/control_node.cc
+++ b/lib/Node/control_node.cc
@@ -59,11 +59,11 @@
   }
   BOOST_LEAF_ASSIGN(node->group_, GroupShell::Open(io, std::move(group),
                                                    node->MakeGroupHandlers()));
-  BOOST_LEAF_ASSIGN(node->listener_,
-                    link::Listener::Listen(
-                        io, settings.link(), [self = node.get()](auto session) {
-                          self->OnSession(std::move(session));
-                        }));
+  BOOST_LEAF_ASSIGN(node->listener_, link::Listener::Listen(
+                                         io, settings.bound_link(),
+                                         [self = node.get()](auto session) {
+                                           self->OnSession(std::move(session));
+                                         }));
   return node;
 }
 
--- a/lib/Node/node_settings.cc
+++ b/lib/Node/node_settings.cc
@@ -99,7 +99,7 @@
   root.CheckKeys(kRootKeys);
   NodeSettingsFile file;
   if (auto reader = root.Mapping("node")) {
-    constexpr std::array<std::string_view, 16> kKeys{"name",
+    constexpr std::array<std::string_view, 17> kKeys{"name",
                                                      "failure_domain",
                                                      "role",
                                                      "address",
@@ -114,12 +114,17 @@
                                                      "grace_ms",
                                                      "link_mbps",
                                                      "log_routine_lines",
-                                                     "log_notable_lines"};
+                                                     "log_notable_lines",
+                                                     "bind_address"};
     reader->CheckKeys(kKeys);
     auto& settings = file.settings;
     settings.name = reader->Text("name").value_or("");
     settings.failure_domain = reader->Text("failure_domain").value_or("");
     settings.address = reader->ReadAddress("address").value_or(0);
+    settings.bind_address =
+        reader->Has("bind_address")
+            ? reader->ReadAddress("bind_address").value_or(0)
+            : settings.address;
     settings.link_port = static_cast<uint16_t>(
         reader->Unsigned("link_port", kPortRange).value_or(0));
     settings.announcement_interval =
--- a/test/soak/main.cc
+++ b/test/soak/main.cc
@@ -3,14 +3,18 @@
 // decides the faults; times are the machine's.
 //
 // Faults: entry and control hosts are stopped, paused, killed and started
-// again, control hosts lose their disks or are replaced, upstreams drain, crash
-// and start again under their id; orders are sent meanwhile. They overlap.
+// again; control hosts lose their disks, or find them full; a proxy delays,
+// resets, silences or cuts one way the links to a control host; upstreams
+// drain, crash and start again under their id; orders are sent meanwhile. They
+// overlap.
 
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
 #include <random>
 
+#include <sys/resource.h>
+
 #include "packet_scenario.h"
 
 namespace acaciahold::standins {
@@ -26,10 +30,17 @@
 constexpr milliseconds kSettleTime{6'000};
 constexpr milliseconds kDrainBound{3'000};
 
+// Which faults a run draws from. Seeds that failed before there were others
+// keep their meaning with kOfHosts.
+enum class Faults { kOfHosts, kAll };
+
 class Soak {
  public:
-  Soak(PacketScenario& scenario, uint64_t seed)
-      : scenario_(scenario), fleet_(*scenario.fleet), random_(seed) {}
+  Soak(PacketScenario& scenario, uint64_t seed, Faults faults)
+      : scenario_(scenario),
+        fleet_(*scenario.fleet),
+        random_(seed),
+        kinds_(faults == Faults::kOfHosts ? 6 : 8) {}
 
   void Run(int steps) {
     for (int i = 0; i < steps; ++i) {
@@ -45,10 +56,11 @@
   int faults() const { return faults_; }
 
  private:
+  enum class Trouble { kEnded, kPaused, kLinks, kDisk };
   struct Down {
     Kind kind = Kind::kEntry;
     int index = 0;
-    bool is_paused = false;  // Else its process is to be started again.
+    Trouble trouble = Trouble::kEnded;
     int steps_left = 0;
   };
 
@@ -74,7 +86,7 @@
   }
 
   void Step() {
-    switch (Draw(6)) {
+    switch (Draw(kinds_)) {
       case 0:
       case 1:
         Disturb(Kind::kEntry, Draw(kHosts));
@@ -86,6 +98,12 @@
       case 4:
         DisturbUpstream();
         break;
+      case 6:
+        DisturbLinks(Draw(kHosts));
+        break;
+      case 7:
+        FillDisk(Draw(kHosts));
+        break;
       default:
         ChangeConfig();
     }
@@ -102,7 +120,7 @@
     if (how == 0) {
       Say("pause " + name);
       fleet_.Signal(kind, index, SIGSTOP);
-      down_.push_back({kind, index, true, 1 + Draw(4)});
+      down_.push_back({kind, index, Trouble::kPaused, 1 + Draw(4)});
       return;
     }
     bool is_term = how == 1;
@@ -117,7 +135,37 @@
       fleet_.WipeDisk(index);
       disk_steps_ = 10;  // The next disk is lost only after this one is back.
     }
-    down_.push_back({kind, index, false, 1 + Draw(3)});
+    down_.push_back({kind, index, Trouble::kEnded, 1 + Draw(3)});
+  }
+
+  // At most one control host is out of the others' reach, or down, at a time.
+  void DisturbLinks(int index) {
+    auto& proxy = fleet_.ProxyOf(index);
+    std::string name = "the links of control " + std::to_string(index);
+    int how = Draw(5);
+    if (how == 0) {
+      Say("reset " + name);
+      proxy.ResetAll();
+    } else if (how == 1) {
+      Say("silence " + name);
+      proxy.SilenceAll();
+    } else if (how == 2) {
+      Say("delay " + name);
+      proxy.Delay(milliseconds(10 + Draw(60)));
+      down_.push_back({Kind::kControl, index, Trouble::kLinks, 1 + Draw(4)});
+    } else if (CountDown(Kind::kControl) == 0) {
+      Say((how == 3 ? "cut towards " : "cut from ") + name);
+      how == 3 ? proxy.CutTowards() : proxy.CutFrom();
+      down_.push_back({Kind::kControl, index, Trouble::kLinks, 1 + Draw(4)});
+    }
+  }
+
+  void FillDisk(int index) {
+    if (CountDown(Kind::kControl) == 0) {
+      Say("fill the disk of control " + std::to_string(index));
+      fleet_.LimitFiles(index, 0);
+      down_.push_back({Kind::kControl, index, Trouble::kDisk, 1 + Draw(4)});
+    }
   }
 
   void DisturbUpstream() {
@@ -162,10 +210,19 @@
   }
 
   void Start(const Down& it) {
-    if (it.is_paused) {
-      fleet_.Signal(it.kind, it.index, SIGCONT);
-    } else {
-      fleet_.StartHost(it.kind, it.index);
+    switch (it.trouble) {
+      case Trouble::kEnded:
+        fleet_.StartHost(it.kind, it.index);
+        break;
+      case Trouble::kPaused:
+        fleet_.Signal(it.kind, it.index, SIGCONT);
+        break;
+      case Trouble::kLinks:
+        fleet_.ProxyOf(it.index).Heal();
+        break;
+      case Trouble::kDisk:
+        fleet_.LimitFiles(it.index, RLIM_INFINITY);
+        break;
     }
   }
 
@@ -212,6 +269,7 @@
   PacketScenario& scenario_;
   NodeFleet& fleet_;
   std::mt19937_64 random_;
+  int kinds_;  // Of steps.
   std::vector<Down> down_;
   int disk_steps_ = 0;  // Until another disk may be lost.
   int crashes_ = 0;
@@ -222,16 +280,18 @@
 int RunSeed(const std::string& binary,
             const std::string& folder,
             uint64_t seed,
-            int steps) {
+            int steps,
+            Faults faults) {
   std::cout << "seed " << seed << std::endl;
   PacketScenarioOptions options;
   options.fleet.binary = binary;
   options.fleet.folder = folder + "/seed-" + std::to_string(seed);
   const char* network = std::getenv("ACACIAHOLD_TEST_NETWORK");
   options.fleet.network = network ? std::atoi(network) : 22;
+  options.fleet.has_proxies = faults == Faults::kAll;
   options.seed = seed;
   PacketScenario scenario(options);
-  Soak soak(scenario, seed);
+  Soak soak(scenario, seed, faults);
   soak.Run(steps);
   return soak.faults();
 }
@@ -239,19 +299,26 @@
 }  // namespace
 }  // namespace acaciahold::standins
 
-// Words: the binary, a folder for files, the first seed, how many seeds, steps.
+// Words: the binary, a folder for files, the first seed, how many seeds, steps,
+// and the faults to draw from: all or hosts.
 int main(int argc, char** argv) {
-  if (argc != 6) {
-    std::cerr << "usage: acaciahold_soak BINARY FOLDER SEED SEEDS STEPS\n";
+  using acaciahold::standins::Faults;
+  std::string kind = argc == 7 ? argv[6] : "";
+  if (kind != "all" && kind != "hosts") {
+    std::cerr << "usage: acaciahold_soak BINARY FOLDER SEED SEEDS STEPS "
+                 "all|hosts\n";
     return 2;
   }
-  int faults = 0;
+  // A full disk is a failed write, here and in the hosts.
+  std::signal(SIGXFSZ, SIG_IGN);
+  int found = 0;
   uint64_t first = std::strtoull(argv[3], nullptr, 10);
   uint64_t seeds = std::strtoull(argv[4], nullptr, 10);
   for (uint64_t seed = first; seed < first + seeds; ++seed) {
-    faults += acaciahold::standins::RunSeed(argv[1], argv[2], seed,
-                                            std::atoi(argv[5]));
+    found += acaciahold::standins::RunSeed(
+        argv[1], argv[2], seed, std::atoi(argv[5]),
+        kind == "all" ? Faults::kAll : Faults::kOfHosts);
   }
-  std::cout << seeds << " seeds, " << faults << " faults\n";
-  return faults == 0 ? 0 : 1;
+  std::cout << seeds << " seeds, " << found << " faults\n";
+  return found == 0 ? 0 : 1;
 }
--- a/test/standins/node_fleet.cc
+++ b/test/standins/node_fleet.cc
@@ -10,6 +10,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <fcntl.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 namespace acaciahold::standins {
@@ -21,6 +22,7 @@
 // The third part of addresses, by what is there.
 constexpr int kEntryGroup = 1;
 constexpr int kControlGroup = 4;
+constexpr int kBehindProxyGroup = 5;
 
 constexpr uint16_t kPacketsPort = 8'172;
 constexpr uint16_t kReadyPort = 8'167;
@@ -52,10 +54,12 @@
   std::filesystem::remove_all(options_.folder);
   std::filesystem::create_directories(options_.folder);
   for (int i = 0; i < options_.control_hosts; ++i) {
-    hosts_.push_back({Kind::kControl, i, ++next_address_, true, nullptr});
+    hosts_.push_back(
+        {Kind::kControl, i, ++next_address_, true, nullptr, nullptr});
   }
   for (int i = 0; i < options_.entry_hosts; ++i) {
-    hosts_.push_back({Kind::kEntry, i, ++next_address_, false, nullptr});
+    hosts_.push_back(
+        {Kind::kEntry, i, ++next_address_, false, nullptr, nullptr});
   }
   if (options_.has_unread_logs && ::pipe2(log_pipe_.data(), O_CLOEXEC) != 0) {
     throw std::runtime_error("can't make a pipe");
@@ -122,6 +126,11 @@
     return text + "  packets: " + at(kPacketsPort) +
            "\n  ready: " + at(kReadyPort) + "\n";
   }
+  if (options_.has_proxies) {
+    text += "  bind_address: " +
+            FormatAddress(At(kBehindProxyGroup, host.address, 0).address) +
+            "\n";
+  }
   return text + "  admin: " + at(kAdminPort) +
          "\n  data_folder: " + DiskOf(host) +
          "\n  founds_group: " + (host.founds_group ? "true" : "false") + "\n";
@@ -135,6 +144,12 @@
 
 void NodeFleet::StartHost(Kind kind, int index) {
   auto& host = Find(kind, index);
+  bool is_behind_proxy = options_.has_proxies && kind == Kind::kControl;
+  if (is_behind_proxy && !host.proxy) {
+    host.proxy = std::make_unique<FaultProxy>(
+        io_, At(kControlGroup, host.address, kLinkPort),
+        At(kBehindProxyGroup, host.address, kLinkPort));
+  }
   auto settings = PathOf(host, ".yaml");
   std::ofstream(settings) << Settings(host);
   std::vector<std::string> words{options_.binary, "run", "--config", settings};
@@ -207,7 +222,21 @@
 
 void NodeFleet::ReplaceControl(int index) {
   WipeDisk(index);
-  Find(Kind::kControl, index).address = ++next_address_;
+  auto& host = Find(Kind::kControl, index);
+  host.address = ++next_address_;
+  host.proxy.reset();
+}
+
+FaultProxy& NodeFleet::ProxyOf(int control_index) {
+  return *Find(Kind::kControl, control_index).proxy;
+}
+
+void NodeFleet::LimitFiles(int control_index, uint64_t bytes) {
+  const auto& process = Find(Kind::kControl, control_index).process;
+  if (process) {
+    rlimit limit{bytes, RLIM_INFINITY};
+    ::prlimit(process->pid(), RLIMIT_FSIZE, &limit, nullptr);
+  }
 }
 
 std::vector<Fabric::EntryHost> NodeFleet::EntryHosts() const {
--- a/test/standins/node_fleet.h
+++ b/test/standins/node_fleet.h
@@ -15,6 +15,7 @@
 #include "acaciahold/Http/client.h"
 #include "acaciahold/Support/address.h"
 #include "child.h"
+#include "fault_proxy.h"
 #include "packet_world.h"
 
 namespace acaciahold::standins {
@@ -27,6 +28,8 @@
   int control_hosts = 3;
   // The output of all hosts goes to one pipe, which nobody reads.
   bool has_unread_logs = false;
+  // Links to control hosts go through a FaultProxy each.
+  bool has_proxies = false;
 };
 
 class NodeFleet {
@@ -49,6 +52,12 @@
   // Gives control host `index` another address, and an empty disk.
   void ReplaceControl(int index);
 
+  // Of FleetOptions::has_proxies.
+  FaultProxy& ProxyOf(int control_index);
+  // A control host's files take no more than so many bytes each from now on;
+  // the parent ignores SIGXFSZ, and so do its children.
+  void LimitFiles(int control_index, uint64_t bytes);
+
   // The logs of all hosts.
   std::vector<std::string> LogPaths() const;
   // The pipe of FleetOptions::has_unread_logs.
@@ -86,6 +95,7 @@
     int address = 0;  // The last part.
     bool founds_group = false;
     std::unique_ptr<Child> process;
+    std::unique_ptr<FaultProxy> proxy;
   };
 
   Host& Find(Kind kind, int index);
