--- /dev/null
+++ b/lib/Consensus/replica_state.cc
@@ -0,0 +1,126 @@
+// What elections and replication have in common: the log, the members, and
+// stepping down.
+
+#include "replica_state.h"
+
+#include <algorithm>
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "acaciahold/Support/check.h"
+
+namespace acaciahold::consensus {
+
+const LogEntry* EntryAt(const Replica& replica, Index index) {
+  if (index <= replica.snapshot.index || index > LastIndex(replica)) {
+    return nullptr;
+  }
+  return &replica.entries[index - replica.snapshot.index - 1];
+}
+
+std::optional<Term> TermAt(const Replica& replica, Index index) {
+  if (index == replica.snapshot.index) {
+    return replica.snapshot.term;
+  }
+  const auto* entry = EntryAt(replica, index);
+  if (!entry) {
+    return std::nullopt;
+  }
+  return entry->term;
+}
+
+Term LastTerm(const Replica& replica) {
+  return *TermAt(replica, LastIndex(replica));
+}
+
+size_t CountVoters(const Replica& replica) {
+  return std::count_if(replica.members.begin(), replica.members.end(),
+                       [](const Member& m) { return m.is_voter; });
+}
+
+size_t Majority(const Replica& replica) {
+  return CountVoters(replica) / 2 + 1;
+}
+
+void ResetElectionDeadline(Replica& replica, Instant now) {
+  bool is_starting = replica.current_as_of == Instant();
+  std::uniform_int_distribution<Duration::rep> spread(
+      (is_starting ? kStartElectionTimeoutMin : kElectionTimeoutMin).count(),
+      (is_starting ? kStartElectionTimeoutMax : kElectionTimeoutMax).count());
+  replica.election_deadline = now + Duration(spread(replica.random));
+}
+
+void SaveHardState(const Replica& replica, Output& output) {
+  output.persist.hard_state = replica.hard;
+}
+
+void FindMembers(Replica& replica) {
+  replica.members = replica.snapshot.members;
+  replica.members_index = replica.snapshot.index;
+  for (auto it = replica.entries.rbegin(); it != replica.entries.rend(); ++it) {
+    if (it->kind != EntryKind::kMembers) {
+      continue;
+    }
+    auto members = MembersFromJson(boost::json::parse(it->payload));
+    AssertInvariant(members.has_value(),
+                    "a member list in the log is readable");
+    replica.members = *members;
+    replica.members_index = it->index;
+    return;
+  }
+}
+
+Message MakeMessage(const Replica& replica, MessageKind kind, ReplicaId to) {
+  Message message;
+  message.kind = kind;
+  message.from = replica.id;
+  message.to = to;
+  message.instance = replica.instance;
+  message.term = replica.hard.term;
+  return message;
+}
+
+void BecomeFollower(Replica& replica, Term term, Instant now, Output& output) {
+  if (term > replica.hard.term) {
+    replica.hard.term = term;
+    replica.hard.voted_for = 0;
+    SaveHardState(replica, output);
+  }
+  if (replica.role != Role::kFollower) {
+    ResetElectionDeadline(replica, now);
+  }
+  replica.role = Role::kFollower;
+  replica.leader = 0;
+  replica.votes.clear();
+  replica.progress.clear();
+}
+
+void AppendEntry(Replica& replica,
+                 EntryKind kind,
+                 std::string payload,
+                 Output& output) {
+  LogEntry entry{LastIndex(replica) + 1, replica.hard.term, kind,
+                 std::move(payload)};
+  replica.entries.push_back(entry);
+  output.persist.append.push_back(std::move(entry));
+}
+
+void CollectCommitted(Replica& replica, Output& output) {
+  if (replica.applied < replica.commit) {
+    output.persist.commit_hint = replica.commit;
+  }
+  while (replica.applied < replica.commit) {
+    const auto* entry = EntryAt(replica, ++replica.applied);
+    AssertInvariant(entry, "a committed entry is in the log");
+    output.committed.push_back(*entry);
+  }
+}
+
+void AppendMembers(Replica& replica, Output& output) {
+  AppendEntry(replica, EntryKind::kMembers,
+              boost::json::serialize(ToJson(replica.members)), output);
+  replica.members_index = LastIndex(replica);
+}
+
+}  // namespace acaciahold::consensus
--- /dev/null
+++ b/lib/Consensus/replication.cc
@@ -0,0 +1,311 @@
+// The leader's appends, what followers store, and what is committed by it.
+
+#include "replication.h"
+
+#include <algorithm>
+#include <functional>
+#include <vector>
+
+#include "acaciahold/Support/check.h"
+#include "replica_state.h"
+
+namespace acaciahold::consensus {
+
+namespace {
+
+constexpr Duration kSnapshotResendInterval = std::chrono::seconds(2);
+
+constexpr Duration kAppendResendInterval = std::chrono::milliseconds(300);
+
+}  // namespace
+
+void AdvanceCommit(Replica& replica, Output& output) {
+  std::vector<Index> matches;
+  for (const auto& member : replica.members) {
+    if (!member.is_voter) {
+      continue;
+    }
+    matches.push_back(member.id == replica.id
+                          ? LastIndex(replica)
+                          : replica.progress[member.id].match);
+  }
+  if (matches.empty()) {
+    return;
+  }
+  std::sort(matches.begin(), matches.end(), std::greater<>());
+  Index index = matches[Majority(replica) - 1];
+  if (index > replica.commit && TermAt(replica, index) == replica.hard.term) {
+    replica.commit = index;
+    CollectCommitted(replica, output);
+  }
+}
+
+namespace {
+
+void SendSnapshot(Replica& replica, ReplicaId to, Instant now, Output& output) {
+  auto message = MakeMessage(replica, MessageKind::kSnapshot, to);
+  message.snapshot = replica.snapshot;
+  output.messages.push_back(std::move(message));
+  replica.progress[to].resend_deadline = now + kSnapshotResendInterval;
+}
+
+void SendAppend(Replica& replica, ReplicaId to, Instant now, Output& output) {
+  auto& progress = replica.progress[to];
+  if (progress.next <= replica.snapshot.index) {
+    if (now >= progress.resend_deadline) {
+      SendSnapshot(replica, to, now, output);
+    }
+    return;
+  }
+  auto message = MakeMessage(replica, MessageKind::kAppend, to);
+  message.index = progress.next - 1;
+  message.log_term = *TermAt(replica, message.index);
+  message.commit = replica.commit;
+  message.round = replica.round;
+  if (now >= progress.resend_deadline) {
+    Index end = std::min<Index>(LastIndex(replica),
+                                progress.next + kMaxEntriesPerAppend - 1);
+    size_t n = 0;
+    for (Index i = progress.next; i <= end && n < kMaxBytesPerAppend; ++i) {
+      message.entries.push_back(*EntryAt(replica, i));
+      n += message.entries.back().payload.size();
+    }
+  }
+  if (!message.entries.empty()) {
+    progress.resend_deadline = now + kAppendResendInterval;
+  }
+  output.messages.push_back(std::move(message));
+}
+
+}  // namespace
+
+void BroadcastAppend(Replica& replica, Instant now, Output& output) {
+  for (const auto& member : replica.members) {
+    if (member.id != replica.id) {
+      SendAppend(replica, member.id, now, output);
+    }
+  }
+  replica.heartbeat_deadline = now + kHeartbeatInterval;
+}
+
+void TrackMembers(Replica& replica, Instant now) {
+  std::erase_if(replica.progress, [&](const auto& it) {
+    return std::none_of(replica.members.begin(), replica.members.end(),
+                        [&](const Member& m) { return m.id == it.first; });
+  });
+  for (const auto& member : replica.members) {
+    if (member.id != replica.id && !replica.progress.contains(member.id)) {
+      replica.progress[member.id] = {LastIndex(replica) + 1, 0, now, now};
+    }
+  }
+}
+
+namespace {
+
+// Drops the log from the index on.
+void Truncate(Replica& replica, Index from, Output& output) {
+  AssertInvariant(from > replica.commit, "a committed entry is never dropped");
+  while (LastIndex(replica) >= from) {
+    replica.entries.pop_back();
+  }
+  output.persist.truncate_from = from;
+}
+
+void StoreEntries(Replica& replica,
+                  const std::vector<LogEntry>& entries,
+                  Output& output) {
+  bool members_changed = false;
+  for (const auto& entry : entries) {
+    if (entry.index <= replica.snapshot.index) {
+      continue;
+    }
+    const auto* known = EntryAt(replica, entry.index);
+    if (known && known->term == entry.term) {
+      continue;
+    }
+    if (known) {
+      Truncate(replica, entry.index, output);
+      members_changed = true;
+    }
+    if (entry.index != LastIndex(replica) + 1) {
+      break;  // A gap: the leader sends what is missing.
+    }
+    replica.entries.push_back(entry);
+    output.persist.append.push_back(entry);
+    members_changed |= entry.kind == EntryKind::kMembers;
+  }
+  if (members_changed) {
+    FindMembers(replica);
+  }
+}
+
+void FollowLeader(Replica& replica,
+                  const Message& message,
+                  Instant now,
+                  Output& output) {
+  if (replica.role != Role::kFollower) {
+    BecomeFollower(replica, message.term, now, output);
+  }
+  replica.leader = message.from;
+  replica.current_as_of = now;
+  ResetElectionDeadline(replica, now);
+}
+
+}  // namespace
+
+void OnAppend(Replica& replica,
+              const Message& message,
+              Instant now,
+              Output& output) {
+  FollowLeader(replica, message, now, output);
+  auto reply = MakeMessage(replica, MessageKind::kAppendReply, message.from);
+  reply.round = message.round;
+  bool is_below = message.index < replica.snapshot.index;
+  auto term = TermAt(replica, message.index);
+  if (!is_below && term != message.log_term) {
+    // The leader retries from the end of this log or before the mismatch.
+    reply.index =
+        std::min(LastIndex(replica), message.index > 0 ? message.index - 1 : 0);
+    reply.index = std::max(reply.index, replica.commit);
+    output.messages.push_back(std::move(reply));
+    return;
+  }
+  StoreEntries(replica, message.entries, output);
+  Index matched =
+      message.entries.empty() ? message.index : message.entries.back().index;
+  reply.granted = true;
+  reply.index =
+      std::min(std::max(matched, replica.snapshot.index), LastIndex(replica));
+  Index commit = std::min(message.commit, reply.index);
+  if (commit > replica.commit) {
+    replica.commit = commit;
+    CollectCommitted(replica, output);
+  }
+  output.messages.push_back(std::move(reply));
+}
+
+Instant QuorumHeardAt(const Replica& replica, Instant now) {
+  std::vector<Instant> heard;
+  for (const auto& member : replica.members) {
+    if (!member.is_voter) {
+      continue;
+    }
+    auto it = replica.progress.find(member.id);
+    heard.push_back(it == replica.progress.end() ? now : it->second.heard_at);
+  }
+  std::sort(heard.begin(), heard.end(), std::greater<>());
+  return heard.empty() ? now : heard[Majority(replica) - 1];
+}
+
+namespace {
+
+// Whether every voter was heard of late.
+bool AllVotersHeard(const Replica& replica, Instant now) {
+  return std::all_of(replica.members.begin(), replica.members.end(),
+                     [&](const Member& m) {
+                       auto it = replica.progress.find(m.id);
+                       return !m.is_voter || it == replica.progress.end() ||
+                              now < it->second.heard_at + kElectionTimeoutMax;
+                     });
+}
+
+}  // namespace
+
+void PromoteLearners(Replica& replica, Instant now, Output& output) {
+  if (replica.members_index > replica.commit || !AllVotersHeard(replica, now)) {
+    return;
+  }
+  for (auto& member : replica.members) {
+    auto it = replica.progress.find(member.id);
+    if (member.is_voter || it == replica.progress.end() ||
+        it->second.match < replica.commit) {
+      continue;
+    }
+    member.is_voter = true;
+    member.instance = it->second.instance;
+    AppendMembers(replica, output);
+    BroadcastAppend(replica, now, output);
+    return;
+  }
+}
+
+void OnAppendReply(Replica& replica,
+                   const Message& message,
+                   Instant now,
+                   Output& output) {
+  auto it = replica.progress.find(message.from);
+  if (replica.role != Role::kLeader || it == replica.progress.end()) {
+    return;
+  }
+  auto& progress = it->second;
+  progress.heard_at = now;
+  progress.instance = message.instance;
+  progress.round = std::max(progress.round, message.round);
+  replica.current_as_of = QuorumHeardAt(replica, now);
+  if (!message.granted) {
+    progress.next = std::max(progress.match + 1,
+                             std::min(progress.next - 1, message.index + 1));
+    progress.resend_deadline = now;
+    SendAppend(replica, message.from, now, output);
+    return;
+  }
+  if (message.index > progress.match) {
+    progress.match = message.index;
+    progress.resend_deadline = now;
+  }
+  progress.next = std::max(progress.next, progress.match + 1);
+  Index commit_before = replica.commit;
+  AdvanceCommit(replica, output);
+  PromoteLearners(replica, now, output);
+  if (replica.commit > commit_before) {
+    BroadcastAppend(replica, now, output);
+  } else if (progress.next <= LastIndex(replica) &&
+             now >= progress.resend_deadline) {
+    SendAppend(replica, message.from, now, output);
+  }
+}
+
+namespace {
+
+// Puts the snapshot before the log. Entries that follow it are kept where the
+// log leads up to it: others may count on them being stored here.
+void InstallSnapshot(Replica& replica,
+                     const Snapshot& snapshot,
+                     Output& output) {
+  if (TermAt(replica, snapshot.index) == snapshot.term) {
+    while (!replica.entries.empty() &&
+           replica.entries.front().index <= snapshot.index) {
+      replica.entries.pop_front();
+    }
+  } else {
+    replica.entries.clear();
+    output.persist.truncate_from = snapshot.index + 1;
+  }
+  replica.snapshot = snapshot;
+}
+
+}  // namespace
+
+void OnSnapshot(Replica& replica,
+                const Message& message,
+                Instant now,
+                Output& output) {
+  FollowLeader(replica, message, now, output);
+  auto reply = MakeMessage(replica, MessageKind::kAppendReply, message.from);
+  reply.granted = true;
+  if (message.snapshot.index <= replica.commit) {
+    reply.index = replica.commit;
+    output.messages.push_back(std::move(reply));
+    return;
+  }
+  InstallSnapshot(replica, message.snapshot, output);
+  replica.commit = replica.snapshot.index;
+  replica.applied = replica.snapshot.index;
+  FindMembers(replica);
+  output.persist.snapshot = replica.snapshot;
+  output.restore = replica.snapshot;
+  reply.index = replica.snapshot.index;
+  output.messages.push_back(std::move(reply));
+}
+
+}  // namespace acaciahold::consensus
--- a/test/standins/packet_scenario.h
+++ b/test/standins/packet_scenario.h
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "node_fleet.h"
+#include "packet_callers.h"
 #include "packet_world.h"
 
 namespace acaciahold::standins {
--- a/test/standins/packet_world.h
+++ b/test/standins/packet_world.h
@@ -1,11 +1,10 @@
-// Stand-ins for what the platform brings: upstreams and callers that speak its
-// packets, a fabric that sprays them over entry hosts, and an operator. All run
-// on one thread, in the caller's io_context.
+// Stand-ins for what the platform brings: upstreams that speak its packets, and
+// a fabric that sprays packets over entry hosts. All run on one thread, in the
+// caller's io_context.
 
 #ifndef ACACIAHOLD_TEST_STANDINS_PACKET_WORLD_H_
 #define ACACIAHOLD_TEST_STANDINS_PACKET_WORLD_H_
 
-#include <array>
 #include <map>
 #include <memory>
 #include <optional>
@@ -23,25 +22,10 @@
 #include "acaciahold/Support/address.h"
 #include "acaciahold/Support/time.h"
 #include "packet_head.h"
+#include "packet_wire.h"
 
 namespace acaciahold::standins {
 
-// A packet as the two ends of a flow write it.
-struct PacketFields {
-  steering::TaggedFlow flow;  // Whichever way the packet goes.
-  bool is_from_caller = true;
-  uint8_t flags = 0;
-  steering::Tag tag = 0;
-  uint32_t sequence = 0;
-  uint32_t acknowledged = 0;
-  uint16_t data_bytes = 0;
-  uint32_t sum = 1;  // 0 in resets of the system's own.
-};
-
-std::vector<std::byte> EncodePacket(const PacketFields& fields);
-std::optional<PacketFields> DecodeFromUpstream(
-    std::span<const std::byte> packet);
-
 // An upstream process: announces itself, takes flows and answers requests.
 class PacketUpstream {
  public:
@@ -147,81 +131,6 @@
   std::mt19937_64 random_;
 };
 
-struct CallerCounts {
-  uint64_t opened = 0;
-  uint64_t answered = 0;
-  uint64_t reset_while_open = 0;  // By the system.
-  uint64_t reset_by_upstream = 0;
-  uint64_t refused = 0;   // Reset by the system before opening.
-  uint64_t unopened = 0;  // No answer to three openings.
-  uint64_t given_up = 0;  // No answer to a request.
-};
-
-// A request, or an attempt to open a flow, that went wrong for its caller.
-struct CallerFailure {
-  enum class Kind { kRefused, kUnopened, kGivenUp, kLate };
-  Kind kind = Kind::kRefused;
-  steering::TaggedFlow flow;
-  Instant at;
-};
-
-// Callers at one address: keeps so many long flows open with requests on them,
-// and opens short flows of one request one after the other.
-class PacketCallers {
- public:
-  struct Options {
-    Endpoint own;  // Where they receive.
-    Endpoint listener;
-    int long_flows = 0;
-    int short_flows = 0;  // Open at the same time.
-    uint64_t seed = 1;
-  };
-
-  PacketCallers(boost::asio::io_context& io, Fabric& fabric, Options options);
-
-  void Start();
-  void StopOpening() { is_opening_ = false; }
-  const CallerCounts& counts() const { return counts_; }
-  const std::vector<CallerFailure>& failures() const { return failures_; }
-
- private:
-  enum class Phase { kOpening, kOpen };
-  struct Flow {
-    bool is_long = false;
-    Phase phase = Phase::kOpening;
-    uint32_t first_sequence = 0;
-    uint32_t upstream_sequence = 0;
-    steering::Tag tag = 0;
-    uint32_t copies = 0;
-    uint32_t requests = 0;
-    bool is_waiting = false;  // For an answer.
-    Instant started_at;       // Of the opening, or of the request.
-    Instant due_at;           // Next copy, repetition or request.
-    Duration repeat_after{};
-  };
-
-  boost::asio::awaitable<void> Receive();
-  void Tick();
-  void Open(bool is_long);
-  void OnDue(uint16_t port, Flow& flow, Instant now);
-  void OnPacket(std::span<const std::byte> packet);
-  void Send(uint16_t port, const Flow& flow, uint8_t flags, uint16_t data);
-  void SendRequest(uint16_t port, Flow& flow, Instant now);
-  void NoteFailure(CallerFailure::Kind kind, uint16_t port, Instant now);
-
-  boost::asio::io_context& io_;
-  Fabric& fabric_;
-  Options options_;
-  boost::asio::ip::udp::socket socket_;
-  boost::asio::steady_timer timer_;
-  std::mt19937_64 random_;
-  std::map<uint16_t, Flow> flows_;  // By the caller's port.
-  uint16_t next_port_ = 1'024;
-  bool is_opening_ = true;
-  std::vector<CallerFailure> failures_;
-  CallerCounts counts_;
-};
-
 }  // namespace acaciahold::standins
 
 #endif  // ACACIAHOLD_TEST_STANDINS_PACKET_WORLD_H_
