Let a control host come back after its disk was full for long

Cause: where the disk still refused to write at the first retry, the data folder that had just been opened stayed open, and held the lock against every later retry: the host never took part again. Change: the folder is closed before it is opened again. Test: AReplicaComesBackAfterAFullDisk (failed first).

--- a/lib/Node/group_shell.cc
+++ b/lib/Node/group_shell.cc
@@ -90,6 +90,7 @@
 }
 
 Result<void> GroupShell::OpenFolder() {
+  folder_.reset();  // Holds the lock that a new one takes.
   storage::StoredState stored;
   BOOST_LEAF_ASSIGN(folder_,
                     storage::DataFolder::Open(settings_.data_folder, stored));
