Let all entry hosts together find upstreams that do not answer

Repeated data alone: a hung upstream acknowledges it, so that its callers' first sign is a flow closed without an answer. Change: entry hosts tell the control hosts that they follow of openings without an answer, and of requests sent again or given up, every 200 ms where there were any.

--- a/include/acaciahold/Node/control_node.h
+++ b/include/acaciahold/Node/control_node.h
@@ -84,6 +84,8 @@
   void OnJoin(const JoinMessage& message);
   void OnRecords(const Records& message);
   void OnRefreshes(const Refreshes& message);
+  void OnTroubles(const Peer& peer, const Troubles& message);
+  void OnSuspects(const Suspects& message);
 
   void Connect(Endpoint to);
   void OnLinkOpen(Endpoint to);
@@ -117,6 +119,7 @@
   boost::asio::steady_timer timer_;
   catalog::State state_;
   directory::Directory directory_;
+  directory::Suspicions suspicions_;
   Refreshes refreshes_;  // Not yet sent.
   uint64_t next_peer_ = 1;
   std::map<uint64_t, Peer> peers_;
--- a/include/acaciahold/Node/entry_node.h
+++ b/include/acaciahold/Node/entry_node.h
@@ -39,6 +39,8 @@
 // without an upstream in reach leaves its callers to other failure domains.
 inline constexpr double kMaxRemotePart = 0.2;
 inline constexpr Duration kForgetInterval = std::chrono::seconds(5);
+// Troubles with upstreams are told this often, where there were any.
+inline constexpr Duration kTroubleInterval = std::chrono::milliseconds(200);
 // At a start one feed tells all that it knows before others are asked, so that
 // the table is read once; after so long others are asked as well.
 inline constexpr Duration kFirstFeedTimeout = std::chrono::milliseconds(100);
@@ -90,6 +92,8 @@
   void OnText(uint32_t feed, std::string_view text);
   void OnNews(uint32_t feed, const Message& message);
   void OnRecords(uint32_t feed, const Records& message);
+  void OnSuspects(const Suspects& message);
+  void TellTroubles(Instant now);
   void UpdateFeeds();
   void StopFeed(uint32_t feed);
   void Tick();
@@ -113,6 +117,7 @@
   std::function<void()> on_complete_;
   Instant forget_deadline_;
   Instant first_feed_deadline_;
+  Instant trouble_deadline_;
   bool is_leaving_ = false;
   bool is_out_of_reach_ = false;  // Cut off from what its callers need.
 };
--- a/include/acaciahold/Node/messages.h
+++ b/include/acaciahold/Node/messages.h
@@ -14,6 +14,7 @@
 #include "acaciahold/Consensus/group.h"
 #include "acaciahold/Consensus/message.h"
 #include "acaciahold/Directory/directory.h"
+#include "acaciahold/Directory/suspicion.h"
 #include "acaciahold/Node/feed_choice.h"
 #include "acaciahold/Support/error.h"
 
@@ -79,6 +80,16 @@
   uint32_t count = 0;
 };
 
+// Entry hosts to the control hosts that they follow.
+struct Troubles {
+  std::vector<directory::Trouble> troubles;
+};
+
+// Upstreams that a control host suspects anew, to all hosts.
+struct Suspects {
+  std::vector<directory::UpstreamId> ids;
+};
+
 // To entry hosts: all that this control host knows has been sent.
 struct Complete {};
 
@@ -92,6 +103,8 @@
                              Standing,
                              EntryHosts,
                              EntryCount,
+                             Troubles,
+                             Suspects,
                              Complete,
                              catalog::View>;
 
--- a/include/acaciahold/Node/node_settings.h
+++ b/include/acaciahold/Node/node_settings.h
@@ -23,7 +23,7 @@
   std::string name;
   std::string failure_domain;
   NodeRole role = NodeRole::kEntry;
-  uint32_t address = 0;    // Of this host, as others reach it for links.
+  uint32_t address = 0;  // Of this host, as others reach it for links.
   // Where it listens for them: another one behind address translation.
   uint32_t bind_address = 0;
   uint16_t link_port = 0;  // TCP, the same on all control hosts.
--- a/include/acaciahold/Steering/tag_steering.h
+++ b/include/acaciahold/Steering/tag_steering.h
@@ -23,6 +23,7 @@
 
 #include "acaciahold/Catalog/catalog.h"
 #include "acaciahold/Directory/directory.h"
+#include "acaciahold/Directory/suspicion.h"
 #include "acaciahold/Steering/placement.h"
 #include "acaciahold/Support/address.h"
 #include "acaciahold/Support/time.h"
@@ -126,6 +127,7 @@
   double answer_seconds = 0;
   uint64_t unanswered = 0;
   uint64_t repeated = 0;  // Data that came before.
+  uint64_t given_up = 0;  // Flows that were closed before an answer came.
 };
 
 struct TagUpstream {
@@ -135,12 +137,23 @@
   PlacementCandidate candidate;
   Reachability reachability;
   ColdGate cold_gate;
+  // Entry hosts together found that it does not answer.
+  Instant suspect_deadline;
+  uint32_t troubles = 0;      // See TakeTroubles.
   uint32_t silent_feeds = 0;  // Bit i: feed i has not heard of it.
 };
 
 // A feed is a control host's stream of news; feeds are numbered from 0 to 31.
 using FeedMask = uint32_t;
 
+// The last data that a caller sent on a flow.
+struct RecentData {
+  uint64_t flow_hash = 0;
+  uint32_t sequence = 0;
+  uint32_t acknowledged = 0;   // What the caller had of the upstream's by then.
+  bool is_unanswered = false;  // Counted as a trouble.
+};
+
 struct RecentOpening {
   uint64_t flow_hash = 0;
   uint32_t sequence = 0;
@@ -185,8 +198,10 @@
   // Invariant: size kRecentOpenings.
   std::vector<RecentOpening> recent;
   std::deque<uint32_t> awaiting;  // Slots of `recent`, oldest first.
-  // Invariant: size kRecentData. A hash of flow and sequence number each.
-  std::vector<uint64_t> recent_data;
+  // Invariant: size kRecentData.
+  std::vector<RecentData> recent_data;
+  // Upstreams with troubles, by id.
+  std::vector<directory::UpstreamId> troubled;
   std::vector<PlacementCandidate*> scratch_candidates;
   std::vector<TagUpstream*> scratch_upstreams;
 };
@@ -223,10 +238,32 @@
                       const Opening& opening,
                       Instant now);
 
-// Data of an open flow, before OnTagged decides on its packet. Returns whether
-// it is repeated: its sender had no word of the first within its time, since
-// that was lost, or its upstream is slow or dead.
-bool OnData(TagSteering& steering, const TaggedFlow& flow, uint32_t sequence);
+// What a later packet of a flow tells of the flow's upstream.
+struct Progress {
+  uint32_t sequence = 0;
+  uint32_t acknowledged = 0;  // Of the upstream's sequence numbers.
+  bool has_data = false;
+  bool is_closing = false;  // The caller sends nothing after it.
+};
+
+// Takes in a later packet, before OnTagged decides on it. Returns whether it is
+// data that came before: its sender had no word of the first within its time,
+// since that was lost, or its upstream is slow or dead. A caller that closes a
+// flow without an answer to its last data has given up.
+bool OnProgress(TagSteering& steering,
+                const TaggedFlow& flow,
+                Tag tag,
+                const Progress& progress);
+
+// Openings without an answer, and requests that were sent again or given up, by
+// upstream, since the last call.
+std::vector<directory::Trouble> TakeTroubles(TagSteering& steering);
+
+// The upstream is given no new flow for `time`, unless there is no other.
+void OnSuspect(TagSteering& steering,
+               directory::UpstreamId id,
+               Duration time,
+               Instant now);
 
 // A later packet of a flow. `requests` is 1 for a packet that carries data.
 TagDecision OnTagged(TagSteering& steering,
--- a/lib/Node/control_node.cc
+++ b/lib/Node/control_node.cc
@@ -210,6 +210,10 @@
     OnHello(peers_[peer], *hello);
     return;
   }
+  if (const auto* troubles = std::get_if<Troubles>(&*message)) {
+    OnTroubles(peers_[peer], *troubles);
+    return;
+  }
   OnHostMessage(*message);
 }
 
@@ -268,6 +272,8 @@
     OnRecords(*records);
   } else if (const auto* refreshes = std::get_if<Refreshes>(&message)) {
     OnRefreshes(*refreshes);
+  } else if (const auto* suspects = std::get_if<Suspects>(&message)) {
+    OnSuspects(*suspects);
   } else if (const auto* hosts = std::get_if<Hosts>(&message)) {
     heard_hosts_ = *hosts;
     UpdateLinks();
@@ -313,6 +319,29 @@
   }
 }
 
+// What entry hosts see of upstreams.
+
+void ControlNode::OnTroubles(const Peer& peer, const Troubles& message) {
+  Instant now = ReadClock();
+  directory::OnTroubles(suspicions_, peer.hello.name, message.troubles, now);
+  Suspects suspects{directory::Judge(suspicions_, directory_, now)};
+  if (suspects.ids.empty()) {
+    return;
+  }
+  for (auto id : suspects.ids) {
+    LogUpstream(directory_.entries.at(id), "suspected");
+  }
+  SendToEntryHosts(suspects);
+  SendToControlHosts(suspects);
+}
+
+void ControlNode::OnSuspects(const Suspects& message) {
+  for (auto id : message.ids) {
+    directory::OnSuspected(suspicions_, id, ReadClock());
+  }
+  SendToEntryHosts(message);
+}
+
 // Upstreams.
 
 void ControlNode::OnAnnouncement(const directory::Record& record) {
--- a/lib/Node/entry_node.cc
+++ b/lib/Node/entry_node.cc
@@ -63,6 +63,7 @@
   steering::OnTick(steering_, now);
   DropLostFeeds(now);
   GreetFeeds(now);
+  TellTroubles(now);
   CheckPlan(now);
   CheckReach(now);
   if (now >= forget_deadline_) {
@@ -233,6 +234,8 @@
   } else if (const auto* entries = std::get_if<EntryCount>(&message)) {
     feeds_[feed].entry_hosts = entries->count;
     CountEntryHosts();
+  } else if (const auto* suspects = std::get_if<Suspects>(&message)) {
+    OnSuspects(*suspects);
   } else if (std::get_if<Complete>(&message)) {
     steering::OnFeedComplete(steering_, feed);
     GreetFeeds(ReadClock());
@@ -249,6 +252,30 @@
   }
 }
 
+void EntryNode::OnSuspects(const Suspects& message) {
+  for (auto id : message.ids) {
+    LogEvent(Weight::kNotable, "upstream_suspected", {{"upstream", id}});
+    steering::OnSuspect(steering_, id, directory::kSuspectTime, ReadClock());
+  }
+}
+
+void EntryNode::TellTroubles(Instant now) {
+  if (now < trouble_deadline_) {
+    return;
+  }
+  trouble_deadline_ = now + kTroubleInterval;
+  Troubles troubles{steering::TakeTroubles(steering_)};
+  if (troubles.troubles.empty()) {
+    return;
+  }
+  auto text = Encode(troubles);
+  for (const auto& feed : feeds_) {
+    if (feed.is_connected) {
+      feed.connector->Send(text);
+    }
+  }
+}
+
 void EntryNode::OnRecords(uint32_t feed, const Records& message) {
   Instant now = ReadClock();
   for (const auto& record : message.records) {
--- a/lib/Node/messages.cc
+++ b/lib/Node/messages.cc
@@ -86,6 +86,19 @@
   return {{"kind", "entry_count"}, {"count", message.count}};
 }
 
+value EncodePart(const Troubles& message) {
+  array troubles;
+  for (const auto& it : message.troubles) {
+    troubles.push_back({it.upstream, it.count});
+  }
+  return {{"kind", "troubles"}, {"troubles", std::move(troubles)}};
+}
+
+value EncodePart(const Suspects& message) {
+  return {{"kind", "suspects"},
+          {"ids", array(message.ids.begin(), message.ids.end())}};
+}
+
 value EncodePart(const Complete&) {
   return {{"kind", "complete"}};
 }
@@ -138,10 +151,20 @@
   return message;
 }
 
-Message DecodeSilences(const object& from) {
-  Silences message;
+std::vector<directory::UpstreamId> IdsOf(const object& from) {
+  std::vector<directory::UpstreamId> ids;
   for (const auto& it : from.at("ids").as_array()) {
-    message.ids.push_back(it.to_number<uint64_t>());
+    ids.push_back(it.to_number<directory::UpstreamId>());
+  }
+  return ids;
+}
+
+Message DecodeTroubles(const object& from) {
+  Troubles message;
+  for (const auto& it : from.at("troubles").as_array()) {
+    const auto& parts = it.as_array();
+    message.troubles.push_back({parts.at(0).to_number<directory::UpstreamId>(),
+                                parts.at(1).to_number<uint32_t>()});
   }
   return message;
 }
@@ -183,7 +206,13 @@
     return DecodeRefreshes(from);
   }
   if (kind == "silences") {
-    return DecodeSilences(from);
+    return Silences{IdsOf(from)};
+  }
+  if (kind == "troubles") {
+    return DecodeTroubles(from);
+  }
+  if (kind == "suspects") {
+    return Suspects{IdsOf(from)};
   }
   if (kind == "hosts") {
     return DecodeHosts(from);
--- a/lib/Node/node_metrics.cc
+++ b/lib/Node/node_metrics.cc
@@ -69,6 +69,9 @@
   families.Begin("acaciahold_requests_repeated_total",
                  "Data of open flows that callers sent again");
   families.Add(steering.counts.repeated);
+  families.Begin("acaciahold_requests_given_up_total",
+                 "Flows that callers closed before an answer came");
+  families.Add(steering.counts.given_up);
   families.Begin("acaciahold_packets_received_total", "Packets of callers");
   families.Add(port.received());
   families.Begin("acaciahold_packets_sent_total", "Packets sent on");
--- a/lib/Steering/flow_shard.cc
+++ b/lib/Steering/flow_shard.cc
@@ -77,8 +77,7 @@
   return decision;
 }
 
-Decision ContinueFlow(Context& c,
-                      FlowTable::iterator it) {
+Decision ContinueFlow(Context& c, FlowTable::iterator it) {
   auto& flow = it->second;
   const auto* target = FindTarget(c.service, flow.upstream);
   if (!target || !target->is_usable) {
--- a/lib/Steering/tag_news.cc
+++ b/lib/Steering/tag_news.cc
@@ -54,6 +54,7 @@
   upstream.candidate.load = {};
   upstream.cold_gate = {};
   upstream.reachability = {};
+  upstream.suspect_deadline = {};
 }
 
 }  // namespace
--- a/lib/Steering/tag_steering.cc
+++ b/lib/Steering/tag_steering.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 #include "acaciahold/Support/check.h"
 #include "acaciahold/Support/hash.h"
@@ -44,8 +45,9 @@
       now < upstream.reachability.avoid_deadline ||
       (domain != steering.domains.end() && now < domain->second.avoid_deadline);
   bool is_out_of_reach = steering.is_cut_off && !upstream.candidate.is_local;
-  bool is_doubtful =
-      is_avoided || is_out_of_reach || IsSilent(steering, upstream);
+  bool is_doubtful = is_avoided || is_out_of_reach ||
+                     now < upstream.suspect_deadline ||
+                     IsSilent(steering, upstream);
   return is_doubtful ? Rank::kDoubtful : Rank::kGood;
 }
 
@@ -155,8 +157,15 @@
   DomainOf(steering, upstream) = {};
 }
 
+void NoteTrouble(TagSteering& steering, TagUpstream& upstream) {
+  if (upstream.troubles++ == 0) {
+    steering.troubled.push_back(upstream.id);
+  }
+}
+
 void OnUnanswered(TagSteering& steering, TagUpstream& upstream, Instant now) {
   ++steering.counts.unanswered;
+  NoteTrouble(steering, upstream);
   CountUnanswered(upstream.reachability, kMaxUnanswered, now);
   CountUnanswered(DomainOf(steering, upstream),
                   MaxUnansweredInDomain(steering, upstream), now);
@@ -332,14 +341,64 @@
   return decision;
 }
 
-bool OnData(TagSteering& steering, const TaggedFlow& flow, uint32_t sequence) {
+namespace {
+
+// One request is one trouble, however often it is sent again.
+void NoteUnanswered(TagSteering& steering, RecentData& recent, Tag tag) {
+  auto* upstream = recent.is_unanswered ? nullptr : FindTag(steering, tag);
+  recent.is_unanswered = true;
+  if (upstream) {
+    NoteTrouble(steering, *upstream);
+  }
+}
+
+}  // namespace
+
+bool OnProgress(TagSteering& steering,
+                const TaggedFlow& flow,
+                Tag tag,
+                const Progress& progress) {
   uint64_t flow_hash = HashFlow(flow);
-  uint64_t data_hash = CombineHashes(flow_hash, sequence);
-  auto& last = steering.recent_data[flow_hash % kRecentData];
-  bool is_repeated = last == data_hash;
-  last = data_hash;
-  steering.counts.repeated += is_repeated ? 1 : 0;
-  return is_repeated;
+  auto& recent = steering.recent_data[flow_hash % kRecentData];
+  bool is_known = recent.flow_hash == flow_hash;
+  if (progress.has_data) {
+    bool is_repeated = is_known && recent.sequence == progress.sequence;
+    if (is_repeated) {
+      ++steering.counts.repeated;
+      NoteUnanswered(steering, recent, tag);
+    } else {
+      recent = {flow_hash, progress.sequence, progress.acknowledged, false};
+    }
+    return is_repeated;
+  }
+  bool has_given_up = progress.is_closing && is_known &&
+                      recent.acknowledged == progress.acknowledged;
+  if (has_given_up) {
+    ++steering.counts.given_up;
+    NoteUnanswered(steering, recent, tag);
+  }
+  return false;
+}
+
+std::vector<directory::Trouble> TakeTroubles(TagSteering& steering) {
+  std::vector<directory::Trouble> troubles;
+  for (auto id : std::exchange(steering.troubled, {})) {
+    auto it = steering.upstreams.find(id);
+    if (it != steering.upstreams.end()) {
+      troubles.push_back({id, std::exchange(it->second.troubles, 0)});
+    }
+  }
+  return troubles;
+}
+
+void OnSuspect(TagSteering& steering,
+               directory::UpstreamId id,
+               Duration time,
+               Instant now) {
+  auto it = steering.upstreams.find(id);
+  if (it != steering.upstreams.end()) {
+    it->second.suspect_deadline = now + time;
+  }
 }
 
 TagDecision OnTagged(TagSteering& steering,
--- a/unittests/Node/messages_test.cc
+++ b/unittests/Node/messages_test.cc
@@ -124,4 +124,11 @@
   BOOST_TEST(!IsNodeSettings("/nowhere/at/all"));
 }
 
+BOOST_AUTO_TEST_CASE(TroublesAndSuspectsComeThrough) {
+  Troubles troubles{{{7, 2}, {9, 1}}};
+  BOOST_TEST((RoundTrip(troubles).troubles == troubles.troubles));
+  Suspects suspects{{7, 9}};
+  BOOST_TEST((RoundTrip(suspects).ids == suspects.ids));
+}
+
 }  // namespace acaciahold::node
--- a/unittests/Steering/tag_steering_test.cc
+++ b/unittests/Steering/tag_steering_test.cc
@@ -127,11 +127,54 @@
 BOOST_AUTO_TEST_CASE(TheSameDataAgainIsRepeated) {
   auto steering = MakeSteering();
   auto flow = MakeOpening(1).flow;
-  BOOST_TEST(!OnData(steering, flow, 100));
-  BOOST_TEST(!OnData(steering, MakeOpening(2).flow, 100));
-  BOOST_TEST(!OnData(steering, flow, 200));
-  BOOST_TEST(OnData(steering, flow, 200));
-  BOOST_TEST(steering.counts.repeated == 1U);
+  auto send = [&](const TaggedFlow& on, uint32_t sequence) {
+    return OnProgress(steering, on, TagOf(1), {sequence, 50, true, false});
+  };
+  BOOST_TEST(!send(flow, 100));
+  BOOST_TEST(!send(MakeOpening(2).flow, 100));
+  BOOST_TEST(!send(flow, 200));
+  BOOST_TEST(send(flow, 200));
+  BOOST_TEST(send(flow, 200));
+  BOOST_TEST(steering.counts.repeated == 2U);
+  // One request is one trouble, told once.
+  BOOST_TEST(
+      (TakeTroubles(steering) == std::vector<directory::Trouble>{{1, 1}}));
+  BOOST_TEST(TakeTroubles(steering).empty());
+}
+
+// An upstream that hangs acknowledges the data, so that it is not sent again.
+BOOST_AUTO_TEST_CASE(ACallerThatClosesWithoutAnAnswerHasGivenUp) {
+  auto steering = MakeSteering();
+  auto answered = MakeOpening(1).flow;
+  auto given_up = MakeOpening(2).flow;
+  OnProgress(steering, answered, TagOf(1), {100, 50, true, false});
+  OnProgress(steering, answered, TagOf(1), {120, 90, false, true});
+  BOOST_TEST(TakeTroubles(steering).empty());
+  OnProgress(steering, given_up, TagOf(2), {100, 50, true, false});
+  OnProgress(steering, given_up, TagOf(2), {120, 50, false, true});
+  BOOST_TEST(steering.counts.given_up == 1U);
+  BOOST_TEST(
+      (TakeTroubles(steering) == std::vector<directory::Trouble>{{2, 1}}));
+  // A flow whose data another host saw tells nothing here.
+  OnProgress(steering, MakeOpening(3).flow, TagOf(3), {120, 50, false, true});
+  BOOST_TEST(TakeTroubles(steering).empty());
+}
+
+// Upstream 1 hangs: it opens flows and answers no request, so that this host
+// alone sees nothing wrong with its openings.
+BOOST_AUTO_TEST_CASE(ASuspectGetsNoNewFlowsForAWhile) {
+  auto steering = MakeSteering();
+  OnSuspect(steering, 1, std::chrono::seconds(3), kStart);
+  BOOST_TEST(OpenFlows(steering, 10, 100, kStart)[1] == 0);
+  auto counts = OpenFlows(steering, 200, 100, kStart + std::chrono::seconds(3));
+  BOOST_TEST(counts[1] > 0);
+  // Where all are suspected, there is no other.
+  for (directory::UpstreamId id = 1; id <= 6; ++id) {
+    OnSuspect(steering, id, std::chrono::seconds(9), kStart);
+  }
+  auto decision =
+      OnOpening(steering, MakeOpening(500), kStart + std::chrono::seconds(4));
+  BOOST_CHECK(decision.verdict == TagVerdict::kForward);
 }
 
 BOOST_AUTO_TEST_CASE(CopiesGoWhereTheFirstWent) {
