--- a/bench/tagged.cc
+++ b/bench/tagged.cc
@@ -7,6 +7,7 @@
 #include <benchmark/benchmark.h>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <boost/endian/conversion.hpp>
 #include <sys/socket.h>
 
 #include "acaciahold/Node/packet_port.h"
@@ -25,6 +26,7 @@
 constexpr uint32_t kLoopback = (127U << 24U) | 1U;
 constexpr Endpoint kListener{(198U << 24U) | 1U, 443};
 constexpr size_t kPacketSize = 134;  // A small request.
+constexpr size_t kSequenceAt = 12;   // In a packet's head.
 const Instant kNow = FromUnixMillis(1'000'000);
 
 // Fills the steering of a host with one service of kUpstreams upstreams.
@@ -53,6 +55,20 @@
           kListener};
 }
 
+// The same beside so many upstreams of other services, three each.
+void FillOthers(steering::TagSteering& steering, uint32_t upstreams) {
+  for (uint32_t n = 1; n <= upstreams; ++n) {
+    directory::Record record;
+    record.id = kUpstreams + n;
+    record.service = "other-" + std::to_string(n / 3);
+    record.endpoint = {kLoopback + n, 80};
+    record.failure_domain = "fd1";
+    record.born_ms = 1;
+    record.sequence = 1;
+    steering::OnRecord(steering, 0, record, kNow);
+  }
+}
+
 // Later packets of so many open flows, in random order.
 void DecideTagged(benchmark::State& state) {
   auto steering = steering::MakeTagSteering("fd1", kSeed);
@@ -69,6 +85,7 @@
 void DecideOpening(benchmark::State& state) {
   auto steering = steering::MakeTagSteering("fd1", kSeed);
   Fill(steering, 9);
+  FillOthers(steering, static_cast<uint32_t>(state.range(0)));
   uint64_t i = 0;
   for (auto unused : state) {
     benchmark::DoNotOptimize(
@@ -93,6 +110,10 @@
     udp::endpoint target(asio::ip::address_v4(to.address), to.port);
     for (auto unused : state) {
       for (size_t i = 0; i < node::kBatchSize; ++i) {
+        // New data each time: what is sent again is the exception.
+        boost::endian::store_little_u32(
+            reinterpret_cast<unsigned char*>(packet.data()) + kSequenceAt,
+            ++sequence_);
         source_.send_to(asio::buffer(packet), target);
       }
       double start = CpuSeconds();
@@ -135,6 +156,7 @@
 
   udp::socket source_;
   udp::socket sink_;
+  uint32_t sequence_ = 0;
   uint64_t received_ = 0;
 };
 
@@ -174,7 +196,7 @@
 }
 
 BENCHMARK(DecideTagged)->Arg(10'000)->Arg(1'000'000);
-BENCHMARK(DecideOpening);
+BENCHMARK(DecideOpening)->Arg(0)->Arg(15'000);
 BENCHMARK(ForwardBare)->UseManualTime();
 BENCHMARK(ForwardWhole)->UseManualTime();
 
--- a/include/acaciahold/Steering/tag_steering.h
+++ b/include/acaciahold/Steering/tag_steering.h
@@ -13,6 +13,7 @@
 #include <array>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -134,6 +135,9 @@
   directory::UpstreamId id = 0;
   Tag tag = 0;
   Endpoint endpoint;  // Invariant: as in the directory.
+  // Invariant: of the directory, for as long as this upstream is known.
+  const directory::Entry* entry = nullptr;
+  std::string service;  // Whose list holds it.
   PlacementCandidate candidate;
   Reachability reachability;
   ColdGate cold_gate;
@@ -192,6 +196,8 @@
   // Invariant: one for each entry of `directory`.
   std::map<directory::UpstreamId, TagUpstream> upstreams;
   std::unordered_map<Tag, TagUpstream*> by_tag;
+  // A new flow looks at the upstreams of its service alone.
+  std::map<std::string, std::vector<TagUpstream*>, std::less<>> by_service;
   // The latest start at each endpoint, which alone takes new flows there.
   std::unordered_map<uint64_t, directory::UpstreamId> latest_at;
   std::unordered_map<uint64_t, const catalog::Listener*> listeners;
--- a/lib/Observe/event_log.cc
+++ b/lib/Observe/event_log.cc
@@ -81,15 +81,25 @@
   }
 }
 
-void LogEvent(Weight weight,
-              std::string_view event,
-              boost::json::object fields) {
+bool MayLog(Weight weight, std::string_view event) {
   auto& log = Log();
   std::lock_guard lock(log.mutex);
   Instant now = ReadClock();
   TellLeftOut(log, now);
-  if (MayWrite(log.budget, weight, event, now)) {
-    WriteLine(log, event, std::move(fields));
+  return MayWrite(log.budget, weight, event, now);
+}
+
+void WriteEvent(std::string_view event, boost::json::object fields) {
+  auto& log = Log();
+  std::lock_guard lock(log.mutex);
+  WriteLine(log, event, std::move(fields));
+}
+
+void LogEvent(Weight weight,
+              std::string_view event,
+              boost::json::object fields) {
+  if (MayLog(weight, event)) {
+    WriteEvent(event, std::move(fields));
   }
 }
 
--- a/lib/Steering/tag_news.cc
+++ b/lib/Steering/tag_news.cc
@@ -26,17 +26,35 @@
   }
 }
 
+void LeaveService(TagSteering& steering, TagUpstream& upstream) {
+  auto it = steering.by_service.find(upstream.service);
+  if (it == steering.by_service.end()) {
+    return;
+  }
+  std::erase(it->second, &upstream);
+  if (it->second.empty()) {
+    steering.by_service.erase(it);
+  }
+}
+
 TagUpstream& EnsureUpstream(TagSteering& steering,
-                            const directory::Record& record) {
+                            const directory::Entry& entry) {
+  const auto& record = entry.record;
   auto [it, is_new] = steering.upstreams.try_emplace(record.id);
   auto& upstream = it->second;
   if (is_new) {
     upstream.id = record.id;
     upstream.tag = TagOf(record.id);
+    upstream.entry = &entry;
     // Feeds other than the first to tell have not heard of it yet; they will.
     upstream.silent_feeds = 0;
     steering.by_tag[upstream.tag] = &upstream;
   }
+  if (is_new || upstream.service != record.service) {
+    LeaveService(steering, upstream);
+    upstream.service = record.service;
+    steering.by_service[record.service].push_back(&upstream);
+  }
   upstream.endpoint = record.endpoint;
   upstream.candidate.slots = std::max(1U, record.slots);
   upstream.candidate.is_local =
@@ -80,7 +98,7 @@
                   known->second.record.born_ms < record.born_ms;
   auto change = directory::Merge(steering.directory, record, now);
   auto& upstream =
-      EnsureUpstream(steering, steering.directory.entries.at(record.id).record);
+      EnsureUpstream(steering, steering.directory.entries.at(record.id));
   if (change != directory::Change::kStale) {
     upstream.silent_feeds = 0;
     NoteEndpoint(steering, record);
@@ -152,6 +170,7 @@
     if (by_tag != steering.by_tag.end() && by_tag->second == &it->second) {
       steering.by_tag.erase(by_tag);
     }
+    LeaveService(steering, it->second);
     steering.upstreams.erase(it);
   }
 }
--- a/lib/Steering/tag_steering.cc
+++ b/lib/Steering/tag_steering.cc
@@ -75,20 +75,21 @@
   auto& upstreams = steering.scratch_upstreams;
   candidates.clear();
   upstreams.clear();
+  auto list = steering.by_service.find(service);
+  if (list == steering.by_service.end()) {
+    return;
+  }
   auto best = Rank::kDoubtful;
   double cold_limit = ColdLimit(steering, service);
-  for (auto& [id, entry] : steering.directory.entries) {
-    if (entry.record.service != service) {
-      continue;
-    }
-    auto& upstream = steering.upstreams.at(id);
-    auto rank = RankOf(steering, upstream, entry.record, now);
+  for (auto* upstream : list->second) {
+    const auto& entry = *upstream->entry;
+    auto rank = RankOf(steering, *upstream, entry.record, now);
     if (rank > best || IsSuperseded(steering, entry.record)) {
       continue;
     }
-    upstream.candidate.is_cold = now < entry.cold_deadline;
-    bool is_full = upstream.candidate.is_cold && cold_limit > 0 &&
-                   !HasColdRoom(steering, upstream, cold_limit, now);
+    upstream->candidate.is_cold = now < entry.cold_deadline;
+    bool is_full = upstream->candidate.is_cold && cold_limit > 0 &&
+                   !HasColdRoom(steering, *upstream, cold_limit, now);
     if (is_full) {
       continue;
     }
@@ -97,8 +98,8 @@
       upstreams.clear();
       best = rank;
     }
-    candidates.push_back(&upstream.candidate);
-    upstreams.push_back(&upstream);
+    candidates.push_back(&upstream->candidate);
+    upstreams.push_back(upstream);
   }
 }
 
@@ -135,20 +136,18 @@
       std::min(reachability.avoid_time * 2, kAvoidTimeMax);
 }
 
-const std::string& DomainNameOf(const TagSteering& steering,
-                                const TagUpstream& upstream) {
-  return steering.directory.entries.at(upstream.id).record.failure_domain;
+const std::string& DomainNameOf(const TagUpstream& upstream) {
+  return upstream.entry->record.failure_domain;
 }
 
 Reachability& DomainOf(TagSteering& steering, const TagUpstream& upstream) {
-  return steering.domains[DomainNameOf(steering, upstream)];
+  return steering.domains[DomainNameOf(upstream)];
 }
 
 // Openings without an answer that a failure domain is allowed.
 uint32_t MaxUnansweredInDomain(const TagSteering& steering,
                                const TagUpstream& upstream) {
-  bool is_quiet =
-      steering.quiet_domains.contains(DomainNameOf(steering, upstream));
+  bool is_quiet = steering.quiet_domains.contains(DomainNameOf(upstream));
   return is_quiet ? kMaxUnansweredInQuietDomain : kMaxUnansweredInDomain;
 }
 
--- a/unittests/Steering/tag_steering_test.cc
+++ b/unittests/Steering/tag_steering_test.cc
@@ -502,6 +502,20 @@
   BOOST_TEST(counts.answers[0] == 4U);
 }
 
+// An upstream that starts again may belong to another service.
+BOOST_AUTO_TEST_CASE(AnUpstreamTakesFlowsOfItsLatestServiceAlone) {
+  auto steering = MakeSteering();
+  auto moved = MakeRecord(1, "north");
+  moved.service = "ledger";
+  moved.born_ms = 50;
+  OnRecord(steering, 0, moved, kStart);
+  BOOST_TEST(OpenFlows(steering, 10, 100, kStart)[1] == 0);
+  auto view = MakeView(2);
+  view.catalog.listeners[0].targets = {{"ledger", 1}};
+  OnView(steering, view);
+  BOOST_TEST(OpenFlows(steering, 200, 100, kStart)[1] == 100);
+}
+
 BOOST_AUTO_TEST_CASE(UpstreamsThatLeftLongAgoAreForgotten) {
   auto steering = MakeSteering();
   auto gone = MakeRecord(2, "north");
