--- a/unittests/Node/early_packets_test.cc
+++ b/unittests/Node/early_packets_test.cc
@@ -12,7 +12,7 @@
 const Instant kStart = FromUnixMillis(1'000'000);
 
 std::vector<std::byte> MakePacket(size_t n) {
-  return {std::byte(n), std::byte(n >> 8U)};
+  return {static_cast<std::byte>(n), static_cast<std::byte>(n >> 8U)};
 }
 
 }  // namespace
--- a/unittests/Node/group_shell_test.cc
+++ b/unittests/Node/group_shell_test.cc
@@ -83,7 +83,7 @@
     FullDisk full;
     BOOST_TEST(!group.Propose("lost", milliseconds(100)));
     BOOST_TEST(!group.shell->is_leader());
-    group.RunFor(milliseconds(kDiskRetryInterval * 3));
+    group.RunFor(kDiskRetryInterval * 3);
     BOOST_TEST(!group.shell->is_leader());
   }
   group.RunFor(kDiskRetryInterval + milliseconds(800));
