Tell suspects once, and prove that all hosts avoid a hung upstream

Cause: each control host passed word of a suspect on to its entry hosts as often as others told it, so that an entry host heard it seven times. Change: only what is new is passed on; packets that are kept for the table are logged as packet_kept. Stand-ins: callers acknowledge answers and close what they give up; the fabric may hash flows, as the platform's does.

--- a/include/acaciahold/Directory/suspicion.h
+++ b/include/acaciahold/Directory/suspicion.h
@@ -59,8 +59,9 @@
                 std::span<const Trouble> troubles,
                 Instant now);
 
-// Another control host suspects the upstream.
-void OnSuspected(Suspicions& suspicions, UpstreamId upstream, Instant now);
+// The upstream is suspected, here or by another control host. Returns whether
+// that is new.
+bool OnSuspected(Suspicions& suspicions, UpstreamId upstream, Instant now);
 
 // Upstreams that are suspected anew. To be called after reports.
 std::vector<UpstreamId> Judge(Suspicions& suspicions,
--- a/lib/Directory/suspicion.cc
+++ b/lib/Directory/suspicion.cc
@@ -74,8 +74,13 @@
   }
 }
 
-void OnSuspected(Suspicions& suspicions, UpstreamId upstream, Instant now) {
-  suspicions.suspected[upstream] = now + kSuspectTime;
+bool OnSuspected(Suspicions& suspicions, UpstreamId upstream, Instant now) {
+  auto& deadline = suspicions.suspected[upstream];
+  if (now < deadline) {
+    return false;
+  }
+  deadline = now + kSuspectTime;
+  return true;
 }
 
 std::vector<UpstreamId> Judge(Suspicions& suspicions,
--- a/lib/Explain/story.cc
+++ b/lib/Explain/story.cc
@@ -14,8 +14,9 @@
 namespace acaciahold::explain {
 namespace {
 
-constexpr std::array<std::string_view, 4> kDecisionEvents{
-    "flow_placed", "flow_reset", "packet_dropped", "request_repeated"};
+constexpr std::array<std::string_view, 5> kDecisionEvents{
+    "flow_placed", "flow_reset", "packet_dropped", "packet_kept",
+    "request_repeated"};
 // What a host believes of itself and its control hosts.
 constexpr std::array<std::string_view, 7> kHostEvents{
     "started",       "table_changed",     "feed_lost", "feed_regained",
--- a/lib/Node/control_node.cc
+++ b/lib/Node/control_node.cc
@@ -336,10 +336,15 @@
 }
 
 void ControlNode::OnSuspects(const Suspects& message) {
+  Suspects news;
   for (auto id : message.ids) {
-    directory::OnSuspected(suspicions_, id, ReadClock());
+    if (directory::OnSuspected(suspicions_, id, ReadClock())) {
+      news.ids.push_back(id);
+    }
+  }
+  if (!news.ids.empty()) {
+    SendToEntryHosts(news);
   }
-  SendToEntryHosts(message);
 }
 
 // Upstreams.
--- a/test/end_to_end/explain_test.cc
+++ b/test/end_to_end/explain_test.cc
@@ -22,15 +22,6 @@
 
 constexpr milliseconds kCallTimeout{2'000};
 
-PacketScenarioOptions MakeOptions(const std::string& name) {
-  PacketScenarioOptions options;
-  options.fleet.binary = BinaryPath();
-  options.fleet.folder = TestFolder(name);
-  const char* network = std::getenv("ACACIAHOLD_TEST_NETWORK");
-  options.fleet.network = network ? std::atoi(network) : 24;
-  return options;
-}
-
 std::optional<CallerFailure> AwaitFailure(PacketScenario& scenario,
                                           Failure kind) {
   std::optional<CallerFailure> found;
@@ -86,7 +77,7 @@
 }  // namespace
 
 BOOST_AUTO_TEST_CASE(ATurnedAwayCallerIsExplained) {
-  PacketScenario scenario(MakeOptions("explain-refused"));
+  PacketScenario scenario(MakePacketOptions("explain-refused"));
   for (const char* domain : {"fd1", "fd2", "fd3"}) {
     auto target = std::string("/-/evacuate/") + domain;
     BOOST_TEST(scenario.fleet->Order(http::Verb::post, target, "", kCallTimeout)
@@ -101,7 +92,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(ALostUpstreamIsExplained) {
-  PacketScenario scenario(MakeOptions("explain-lost"));
+  PacketScenario scenario(MakePacketOptions("explain-lost"));
   scenario.fleet->RunFor(milliseconds(500));
   scenario.upstreams.front().Crash();
   auto failure = AwaitFailure(scenario, Failure::kGivenUp);
@@ -113,7 +104,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(ASlowUpstreamIsExplained) {
-  PacketScenario scenario(MakeOptions("explain-slow"));
+  PacketScenario scenario(MakePacketOptions("explain-slow"));
   scenario.fleet->RunFor(milliseconds(500));
   // Callers repeat after 200, 600 and 1,400 ms: four packets over three hosts.
   scenario.upstreams.front().SlowDown(milliseconds(1'600));
@@ -164,7 +155,7 @@
 // Nobody reads the hosts' output: they serve on, keep to their memory, and tell
 // the right count of lines once somebody reads.
 BOOST_AUTO_TEST_CASE(LogsThatNobodyReadHoldNothingUp) {
-  auto options = MakeOptions("explain-unread");
+  auto options = MakePacketOptions("explain-unread");
   options.fleet.has_unread_logs = true;
   options.short_flows = 20;
   PacketScenario scenario(options);
--- a/test/end_to_end/platform_day_test.cc
+++ b/test/end_to_end/platform_day_test.cc
@@ -22,15 +22,6 @@
 // A new member has had its time, and another may be lost.
 constexpr milliseconds kSyncTime{4'000};
 
-PacketScenarioOptions MakeOptions(const std::string& name) {
-  PacketScenarioOptions options;
-  options.fleet.binary = BinaryPath();
-  options.fleet.folder = TestFolder(name);
-  const char* network = std::getenv("ACACIAHOLD_TEST_NETWORK");
-  options.fleet.network = network ? std::atoi(network) : 21;
-  return options;
-}
-
 // What no planned change may do to callers.
 void CheckUnbroken(const PacketScenario& scenario) {
   const auto& counts = scenario.callers->counts();
@@ -52,7 +43,7 @@
 }  // namespace
 
 BOOST_AUTO_TEST_CASE(FlowsOutliveARollingRestartOfAllEntryHosts) {
-  PacketScenario scenario(MakeOptions("platform-rolling"));
+  PacketScenario scenario(MakePacketOptions("platform-rolling"));
   auto& fleet = *scenario.fleet;
   fleet.RunFor(milliseconds(1'000));
   for (int i = 0; i < 3; ++i) {
@@ -70,7 +61,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(AControlHostIsReplacedByAnEmptyOne) {
-  PacketScenario scenario(MakeOptions("platform-replaced"));
+  PacketScenario scenario(MakePacketOptions("platform-replaced"));
   auto& fleet = *scenario.fleet;
   Stop(scenario, Kind::kControl, 0, SIGKILL);
   fleet.ReplaceControl(0);
@@ -89,7 +80,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(UpstreamsDrainCrashAndStartAgain) {
-  PacketScenario scenario(MakeOptions("platform-upstreams"));
+  PacketScenario scenario(MakePacketOptions("platform-upstreams"));
   auto& fleet = *scenario.fleet;
   fleet.RunFor(milliseconds(500));
   auto& draining = scenario.upstreams.front();
@@ -110,7 +101,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(OrdersAreRepeatedRacedRefusedAndKept) {
-  PacketScenario scenario(MakeOptions("platform-orders"));
+  PacketScenario scenario(MakePacketOptions("platform-orders"));
   auto& fleet = *scenario.fleet;
   BOOST_TEST(scenario.ChangeConfig(3));
   auto put = [&](const std::string& body) {
@@ -164,9 +155,31 @@
   BOOST_TEST(scenario.callers->counts().reset_while_open == 0U);
 }
 
+// It takes flows and announces itself, and answers no request: what three hosts
+// see together is enough for all of them. A host sees whether a flow goes on
+// where the fabric keeps to it, as the platform's does.
+BOOST_AUTO_TEST_CASE(AHungUpstreamIsAvoidedByAllHosts) {
+  auto options = MakePacketOptions("platform-hung");
+  options.short_flows = 20;
+  options.request_timeout = milliseconds(800);
+  PacketScenario scenario(options);
+  scenario.fabric->HashFlows();
+  auto& fleet = *scenario.fleet;
+  fleet.RunFor(milliseconds(500));
+  auto& hung = scenario.upstreams.front();
+  hung.SlowDown(milliseconds(60'000));
+  fleet.RunFor(milliseconds(2'500));
+  uint64_t openings = hung.openings();
+  uint64_t answered = scenario.callers->counts().answered;
+  fleet.RunFor(milliseconds(2'500));
+  BOOST_TEST(hung.openings() == openings);
+  BOOST_TEST(scenario.callers->counts().answered > answered + 100);
+  BOOST_TEST(scenario.callers->counts().reset_while_open == 0U);
+}
+
 // A frozen leader must not answer reads from what it held.
 BOOST_AUTO_TEST_CASE(AFrozenControlHostHoldsNobodyBack) {
-  PacketScenario scenario(MakeOptions("platform-frozen"));
+  PacketScenario scenario(MakePacketOptions("platform-frozen"));
   auto& fleet = *scenario.fleet;
   for (int i = 0; i < 3; ++i) {
     fleet.Signal(Kind::kControl, i, SIGSTOP);
--- a/test/end_to_end/scenario.cc
+++ b/test/end_to_end/scenario.cc
@@ -2,6 +2,7 @@
 
 #include "scenario.h"
 
+#include <cstdlib>
 #include <filesystem>
 #include <stdexcept>
 
@@ -32,6 +33,16 @@
 
 }  // namespace
 
+PacketScenarioOptions MakePacketOptions(const std::string& name) {
+  PacketScenarioOptions options;
+  options.fleet.binary = BinaryPath();
+  options.fleet.folder = TestFolder(name);
+  if (const char* network = std::getenv("ACACIAHOLD_TEST_NETWORK")) {
+    options.fleet.network = std::atoi(network);
+  }
+  return options;
+}
+
 std::string BinaryPath() {
   return ACACIAHOLD_BINARY;
 }
--- a/test/end_to_end/scenario.h
+++ b/test/end_to_end/scenario.h
@@ -9,6 +9,7 @@
 
 #include "deployment.h"
 #include "flow_lab.h"
+#include "packet_scenario.h"
 #include "upstream_fleet.h"
 
 namespace acaciahold::standins {
@@ -39,6 +40,10 @@
   std::unique_ptr<FlowLab> lab;
 };
 
+// A deployment of hosts that find their group from seeds, in the network that
+// ACACIAHOLD_TEST_NETWORK names.
+PacketScenarioOptions MakePacketOptions(const std::string& name);
+
 // The acaciahold binary under test.
 std::string BinaryPath();
 // A folder for this test's files.
--- a/test/standins/packet_callers.cc
+++ b/test/standins/packet_callers.cc
@@ -27,7 +27,6 @@
 constexpr milliseconds kOpeningTimeout{1'400};
 constexpr milliseconds kRepeatMin{200};
 constexpr milliseconds kRepeatMax{1'600};
-constexpr milliseconds kRequestTimeout{8'000};
 // An answer after it is late.
 constexpr milliseconds kLateTime{1'000};
 constexpr milliseconds kPauseOfLongFlows{60};
@@ -119,9 +118,11 @@
   bool is_opening = flags == kSyn;
   fields.sequence = flow.first_sequence +
                     (is_opening ? 0 : 1 + flow.requests * kRequestBytes);
-  fields.acknowledged = is_opening ? flow.copies : flow.upstream_sequence + 1;
+  fields.acknowledged =
+      is_opening ? flow.copies
+                 : flow.upstream_sequence + 1 + flow.requests * kAnswerBytes;
   fields.data_bytes = data;
-  SendTo(socket_, EncodePacket(fields), fabric_.Pick());
+  SendTo(socket_, EncodePacket(fields), fabric_.Pick(port));
 }
 
 void PacketCallers::SendRequest(uint16_t port, Flow& flow, Instant now) {
@@ -157,8 +158,9 @@
     SendRequest(port, flow, now);
     return;
   }
-  if (now >= flow.started_at + Duration(kRequestTimeout)) {
+  if (now >= flow.started_at + Duration(options_.request_timeout)) {
     ++counts_.given_up;
+    Send(port, flow, kFin | kAck, 0);
     NoteFailure(CallerFailure::Kind::kGivenUp, port, now);
     flows_.erase(port);
     return;
--- a/test/standins/packet_callers.h
+++ b/test/standins/packet_callers.h
@@ -47,6 +47,8 @@
     Endpoint listener;
     int long_flows = 0;
     int short_flows = 0;  // Open at the same time.
+    // Without an answer for so long, a caller gives a request up.
+    std::chrono::milliseconds request_timeout{8'000};
     uint64_t seed = 1;
   };
 
--- a/test/standins/packet_scenario.cc
+++ b/test/standins/packet_scenario.cc
@@ -44,6 +44,7 @@
   callers_options.listener = kListener;
   callers_options.long_flows = options_.long_flows;
   callers_options.short_flows = options_.short_flows;
+  callers_options.request_timeout = options_.request_timeout;
   callers_options.seed = options_.seed;
   callers = std::make_unique<PacketCallers>(io, *fabric, callers_options);
   callers->Start();
--- a/test/standins/packet_scenario.h
+++ b/test/standins/packet_scenario.h
@@ -21,6 +21,8 @@
   int upstreams = 6;  // Spread over three failure domains.
   int long_flows = 30;
   int short_flows = 4;
+  // See PacketCallers::Options.
+  std::chrono::milliseconds request_timeout{8'000};
   uint64_t seed = 1;
 };
 
--- a/test/standins/packet_wire.h
+++ b/test/standins/packet_wire.h
@@ -23,6 +23,9 @@
 inline constexpr uint8_t kFin = 2;
 inline constexpr uint8_t kRst = 8;
 
+// Data of an upstream's answer.
+inline constexpr uint16_t kAnswerBytes = 40;
+
 // A packet as the two ends of a flow write it.
 struct PacketFields {
   steering::TaggedFlow flow;  // Whichever way the packet goes.
--- a/test/standins/packet_world.cc
+++ b/test/standins/packet_world.cc
@@ -21,7 +21,6 @@
 
 constexpr auto kToken = asio::as_tuple(asio::use_awaitable);
 
-constexpr uint16_t kAnswerBytes = 40;
 constexpr milliseconds kProbeInterval{500};
 constexpr milliseconds kCallTimeout{1'000};
 constexpr int kMaxMisses = 2;
@@ -247,14 +246,15 @@
   });
 }
 
-Endpoint Fabric::Pick() {
+Endpoint Fabric::Pick(uint16_t port) {
   bool use_all = CountReady() * 2 < hosts_.size();
-  while (true) {
-    const auto& host = hosts_[random_() % hosts_.size()];
+  std::vector<Endpoint> rotation;
+  for (const auto& host : hosts_) {
     if (use_all || host.misses < kMaxMisses) {
-      return host.packets;
+      rotation.push_back(host.packets);
     }
   }
+  return rotation[(hashes_flows_ ? port : random_()) % rotation.size()];
 }
 
 }  // namespace acaciahold::standins
--- a/test/standins/packet_world.h
+++ b/test/standins/packet_world.h
@@ -119,7 +119,11 @@
          uint64_t seed);
 
   void Start();
-  Endpoint Pick();
+  // Sends the packets of a flow to the same host while the rotation stays, in
+  // place of any.
+  void HashFlows() { hashes_flows_ = true; }
+  // The host for a packet of the caller's flow at `port`.
+  Endpoint Pick(uint16_t port);
   size_t CountReady() const;
 
  private:
@@ -129,6 +133,7 @@
   http::Client& client_;
   std::vector<EntryHost> hosts_;
   std::mt19937_64 random_;
+  bool hashes_flows_ = false;
 };
 
 }  // namespace acaciahold::standins
--- a/unittests/Directory/suspicion_test.cc
+++ b/unittests/Directory/suspicion_test.cc
@@ -101,6 +101,14 @@
   BOOST_TEST(suspicions.suspected.empty());
 }
 
+// Each control host tells its entry hosts once, however many tell it.
+BOOST_AUTO_TEST_CASE(WhatIsSuspectedAlreadyIsNoNews) {
+  Suspicions suspicions;
+  BOOST_TEST(OnSuspected(suspicions, 1, kStart));
+  BOOST_TEST(!OnSuspected(suspicions, 1, kStart + milliseconds(10)));
+  BOOST_TEST(OnSuspected(suspicions, 1, kStart + kSuspectTime));
+}
+
 BOOST_AUTO_TEST_CASE(WhatLeavesIsNotSuspected) {
   auto directory = MakeDirectory();
   directory.entries.at(1).record.phase = Phase::kDraining;
