Spread new flows by phase, and keep them in the own failure domain

Cause: each host's rotation began with all upstreams having about the same turn, so a host's first flows went to all of them alike. One of 294 hosts opens fewer flows than there are upstreams: 1,651 of the first 2,000 went to other failure domains. Other domains' part also grew with their number (0.08 each). And all hosts gave their next flow to an upstream that came back after it was avoided: 167 of 300 hosts at once. Change: a candidate's first turn, and the one after an absence, lies at a random phase of its own interval, which is as long as its part is small; other domains have a tenth of the own ones' part together. Tests that failed first: TheFirstFlowsOfAHostStayInItsDomain (1,651 of at most 400), OtherDomainsPartDoesNotGrowWithTheirNumber (237 to 470 of at most 150), AReturnedUpstreamMeetsNoCrowdOfHosts (167 of at most 15).

--- a/include/acaciahold/Steering/placement.h
+++ b/include/acaciahold/Steering/placement.h
@@ -6,7 +6,8 @@
 // of the requests, before upstreams that work on two or three at once. A
 // replaced upstream begins with no long flows and is brought to its part by a
 // bounded share of the new ones, so that a crowd of new flows never goes to the
-// one upstream that looks idle.
+// one upstream that looks idle. Hundreds of hosts see a few flows each, fewer
+// than there are upstreams, and still keep to their own failure domain.
 
 #ifndef ACACIAHOLD_STEERING_PLACEMENT_H_
 #define ACACIAHOLD_STEERING_PLACEMENT_H_
@@ -38,7 +39,12 @@
   bool is_cold = false;
   bool is_local = true;  // In the host's own failure domain.
   LoadMeter load;
-  // The upstream's turn comes when it is the lowest; see PickCandidate.
+  // In [0, 1), other on each host: how much of its interval passes before its
+  // first turn, and before the one that follows an absence. Else all hosts
+  // would choose it at once.
+  double phase = 0;
+  // The upstream's turn comes when it is the lowest. Below the rotation's turn
+  // it was absent; see PickCandidate.
   double turn = 0;
 };
 
@@ -53,8 +59,9 @@
 inline constexpr double kMaxCatchUp = 1.6;
 // A cold upstream is taken to be this much slower.
 inline constexpr double kColdSpeed = 0.5;
-// Other failure domains' upstreams get this times the own ones' part.
-inline constexpr double kRemoteWeight = 0.08;
+// Other failure domains' upstreams together get this times the own ones' part,
+// however many they are.
+inline constexpr double kRemotePart = 0.1;
 
 // Picks the candidate whose turn it is and moves its turn on. Returns an index,
 // or -1 where there is none. `excluded` is an index that is passed over, or -1.
@@ -63,11 +70,9 @@
                   int excluded,
                   Instant now);
 
-// Gives a new candidate a turn in the rotation. `jitter` in [0, 1) spreads the
-// hosts' first choices.
-void JoinRotation(const Rotation& rotation,
-                  PlacementCandidate& candidate,
-                  double jitter);
+// Gives a new candidate a turn in its rotation. `jitter` in [0, 1) spreads the
+// hosts' choices.
+void JoinRotation(PlacementCandidate& candidate, double jitter);
 
 }  // namespace acaciahold::steering
 
--- a/lib/Steering/placement.cc
+++ b/lib/Steering/placement.cc
@@ -28,15 +28,35 @@
   return slots > 0 ? load / slots : 0;
 }
 
-double Weight(const PlacementCandidate& candidate,
-              double mean_load,
-              Instant now) {
+// Slots of candidates in the own failure domain, and in others.
+struct Slots {
+  double local = 0;
+  double remote = 0;
+};
+
+Slots CountSlots(std::span<PlacementCandidate* const> candidates) {
+  Slots slots;
+  for (const auto* candidate : candidates) {
+    (candidate->is_local ? slots.local : slots.remote) += candidate->slots;
+  }
+  return slots;
+}
+
+// A candidate's part, load left aside.
+double BaseWeight(const PlacementCandidate& candidate, const Slots& slots) {
+  bool is_spill = !candidate.is_local && slots.local > 0;
+  double locality = is_spill ? kRemotePart * slots.local / slots.remote : 1.0;
+  return Speed(candidate) * locality;
+}
+
+// How much more than its part a candidate gets, for want of load.
+double CatchUp(const PlacementCandidate& candidate,
+               double mean_load,
+               Instant now) {
   // One request more on each side keeps small counts from deciding.
   double own_load = (LoadAt(candidate.load, now) + 1) / candidate.slots;
-  double catch_up = std::clamp((mean_load + 1.0 / candidate.slots) / own_load,
-                               1 / kMaxCatchUp, kMaxCatchUp);
-  double locality = candidate.is_local ? 1.0 : kRemoteWeight;
-  return Speed(candidate) * catch_up * locality;
+  return std::clamp((mean_load + 1.0 / candidate.slots) / own_load,
+                    1 / kMaxCatchUp, kMaxCatchUp);
 }
 
 }  // namespace
@@ -59,11 +79,16 @@
                   std::span<PlacementCandidate* const> candidates,
                   int excluded,
                   Instant now) {
+  auto slots = CountSlots(candidates);
   int best = -1;
   for (int i = 0; i < static_cast<int>(candidates.size()); ++i) {
-    auto& turn = candidates[i]->turn;
-    turn = std::max(turn, rotation.turn);
-    if (i != excluded && (best < 0 || turn < candidates[best]->turn)) {
+    auto& candidate = *candidates[i];
+    if (candidate.turn < rotation.turn) {
+      candidate.turn =
+          rotation.turn + candidate.phase / BaseWeight(candidate, slots);
+    }
+    bool is_better = best < 0 || candidate.turn < candidates[best]->turn;
+    if (i != excluded && is_better) {
       best = i;
     }
   }
@@ -71,16 +96,17 @@
     auto& candidate = *candidates[best];
     rotation.turn = candidate.turn;
     double mean_load = MeanLoad(candidates, candidate.is_local, now);
-    candidate.turn += 1 / Weight(candidate, mean_load, now);
+    candidate.turn +=
+        1 / (BaseWeight(candidate, slots) * CatchUp(candidate, mean_load, now));
     CountLoad(candidate.load, 1, now);
   }
   return best;
 }
 
-void JoinRotation(const Rotation& rotation,
-                  PlacementCandidate& candidate,
-                  double jitter) {
-  candidate.turn = rotation.turn + jitter / candidate.slots;
+void JoinRotation(PlacementCandidate& candidate, double jitter) {
+  constexpr double kBeforeAllTurns = -1;
+  candidate.turn = kBeforeAllTurns;
+  candidate.phase = jitter;
 }
 
 }  // namespace acaciahold::steering
--- a/lib/Steering/tag_news.cc
+++ b/lib/Steering/tag_news.cc
@@ -63,12 +63,9 @@
 }
 
 // Gives an upstream a turn in its service's rotation, and a clean slate.
-void Enroll(TagSteering& steering,
-            TagUpstream& upstream,
-            const directory::Record& record) {
+void Enroll(TagSteering& steering, TagUpstream& upstream) {
   std::uniform_real_distribution<double> jitter(0.0, 1.0);
-  JoinRotation(steering.rotations[record.service], upstream.candidate,
-               jitter(steering.random));
+  JoinRotation(upstream.candidate, jitter(steering.random));
   upstream.candidate.load = {};
   upstream.cold_gate = {};
   upstream.reachability = {};
@@ -106,7 +103,7 @@
   upstream.silent_feeds &= ~(FeedMask{1} << feed);
   steering.directory.entries.at(record.id).is_silent = false;
   if (is_start) {
-    Enroll(steering, upstream, record);
+    Enroll(steering, upstream);
   }
   return change == directory::Change::kChanged;
 }
--- a/unittests/Steering/placement_test.cc
+++ b/unittests/Steering/placement_test.cc
@@ -87,7 +87,7 @@
   }
   candidates[0].is_cold = true;
   auto pointers = PointersTo(candidates);
-  JoinRotation(rotation, candidates[0], 0.5);
+  JoinRotation(candidates[0], 0.5);
   int to_cold = 0;
   for (int i = 0; i < 500; ++i) {
     to_cold += PickCandidate(rotation, pointers, -1,
@@ -114,7 +114,7 @@
     auto candidates = MakeCandidates(6);
     auto pointers = PointersTo(candidates);
     for (auto& candidate : candidates) {
-      JoinRotation(rotation, candidate, jitter(random));
+      JoinRotation(candidate, jitter(random));
     }
     for (int i = 0; i < 33; ++i) {
       ++counts[PickCandidate(rotation, pointers, -1, kStart + milliseconds(i))];
@@ -159,6 +159,77 @@
   BOOST_TEST(remote < 75);
 }
 
+namespace {
+
+// One host's candidates: some in its own domain, the others elsewhere.
+std::vector<PlacementCandidate> MakeDomains(size_t local,
+                                            size_t remote,
+                                            std::mt19937_64& random) {
+  std::uniform_real_distribution<double> jitter(0, 1);
+  auto candidates = MakeCandidates(local + remote);
+  for (size_t i = 0; i < candidates.size(); ++i) {
+    candidates[i].is_local = i < local;
+    JoinRotation(candidates[i], jitter(random));
+  }
+  return candidates;
+}
+
+}  // namespace
+
+// One of hundreds of hosts opens fewer flows than there are upstreams.
+BOOST_AUTO_TEST_CASE(TheFirstFlowsOfAHostStayInItsDomain) {
+  std::mt19937_64 random(6);
+  int remote = 0;
+  for (int host = 0; host < 20; ++host) {
+    Rotation rotation;
+    auto candidates = MakeDomains(80, 400, random);
+    auto pointers = PointersTo(candidates);
+    for (int i = 0; i < 100; ++i) {
+      remote += PickCandidate(rotation, pointers, -1,
+                              kStart + milliseconds(200 * i)) >= 80;
+    }
+  }
+  BOOST_TEST(remote <= 20 * 100 * 2 * kRemotePart);
+}
+
+BOOST_AUTO_TEST_CASE(OtherDomainsPartDoesNotGrowWithTheirNumber) {
+  std::mt19937_64 random(7);
+  for (size_t domains : {1U, 3U, 5U, 9U}) {
+    Rotation rotation;
+    auto candidates = MakeDomains(10, 10 * domains, random);
+    auto pointers = PointersTo(candidates);
+    int remote = 0;
+    for (int i = 0; i < 1'000; ++i) {
+      remote += PickCandidate(rotation, pointers, -1,
+                              kStart + milliseconds(10 * i)) >= 10;
+    }
+    BOOST_TEST(remote <= 1'000 * 1.5 * kRemotePart);
+  }
+}
+
+// Hundreds of hosts avoided an upstream for a while. Their next flows must not
+// all go to it.
+BOOST_AUTO_TEST_CASE(AReturnedUpstreamMeetsNoCrowdOfHosts) {
+  constexpr int kHosts = 300;
+  constexpr int kUpstreams = 80;
+  std::mt19937_64 random(8);
+  int to_returned = 0;
+  for (int host = 0; host < kHosts; ++host) {
+    Rotation rotation;
+    auto candidates = MakeDomains(kUpstreams, 0, random);
+    auto pointers = PointersTo(candidates);
+    std::span<PlacementCandidate* const> others(pointers.data() + 1,
+                                                kUpstreams - 1);
+    PickCandidate(rotation, pointers, 0, kStart);
+    for (int i = 0; i < 40; ++i) {
+      PickCandidate(rotation, others, -1, kStart + milliseconds(100 * i));
+    }
+    to_returned += PickCandidate(rotation, pointers, -1,
+                                 kStart + milliseconds(4'000)) == 0;
+  }
+  BOOST_TEST(to_returned <= 4 * kHosts / kUpstreams);
+}
+
 BOOST_AUTO_TEST_CASE(LoadDecays) {
   LoadMeter meter;
   CountLoad(meter, 10, kStart);
