Ask upstreams to announce themselves in their own failure domain

Cause: upstreams announce themselves to any control host, five of six times in another failure domain: at 600 upstreams 780 calls a second between domains, and at a cut of a domain its upstreams look for another host. Change: the acknowledgement of the first announcements, and of one in eight after them, names a control host of the upstream's own domain that is connected. Where the upstream can't reach it, it loses no two announcements in a row. Test: UpstreamsAnnounceThemselvesInTheirDomain, with the domain's control host away and back; the stand-in's upstreams follow the address as the platform's do.

--- a/include/acaciahold/Node/control_node.h
+++ b/include/acaciahold/Node/control_node.h
@@ -36,6 +36,11 @@
 inline constexpr std::chrono::milliseconds kRefreshInterval{400};
 // News of upstreams that come within it go out together.
 inline constexpr std::chrono::milliseconds kGatherTime{20};
+// An upstream is sent to a nearer control host at its first announcements, and
+// at one in so many after them: where it can't reach that host, it loses no two
+// announcements in a row.
+inline constexpr uint64_t kFirstAnnouncements = 2;
+inline constexpr uint64_t kMoveInterval = 8;
 // A host without a leader asks to join this often.
 inline constexpr Duration kJoinInterval = std::chrono::milliseconds(500);
 
@@ -57,6 +62,10 @@
   void OnAnnouncement(const directory::Record& record);
   void OnLeave(directory::UpstreamId id, int64_t born_ms);
 
+  // The links of a control host in the upstream's own failure domain, where it
+  // should announce itself from now on; nothing where it may stay.
+  std::optional<Endpoint> NearerHost(const directory::Record& record) const;
+
   // See GroupShell::Propose and ConfirmRead.
   void Submit(const catalog::Command& command, std::function<void(bool)> done);
   void ConfirmRead(std::function<void(bool)> done);
--- a/lib/Node/control_links.cc
+++ b/lib/Node/control_links.cc
@@ -6,6 +6,7 @@
 
 #include "acaciahold/Node/control_node.h"
 #include "acaciahold/Observe/event_log.h"
+#include "acaciahold/Support/hash.h"
 
 namespace acaciahold::node {
 namespace {
@@ -53,6 +54,28 @@
   return known;
 }
 
+std::optional<Endpoint> ControlNode::NearerHost(
+    const directory::Record& record) const {
+  bool is_due = record.sequence <= kFirstAnnouncements ||
+                record.sequence % kMoveInterval == 0;
+  if (!is_due || record.failure_domain == settings_.failure_domain) {
+    return std::nullopt;
+  }
+  std::optional<Endpoint> nearer;
+  uint64_t best = 0;
+  for (const auto& [link, connector] : links_) {
+    auto domain = failure_domains_.find(link);
+    bool is_near = connector->is_open() && domain != failure_domains_.end() &&
+                   domain->second == record.failure_domain;
+    uint64_t rank = CombineHashes(record.id, PackEndpoint(link));
+    if (is_near && (!nearer || rank < best)) {
+      nearer = link;
+      best = rank;
+    }
+  }
+  return nearer;
+}
+
 // Whether a leader with a majority was heard of late.
 bool ControlNode::IsCurrent(Instant now) const {
   const auto& replica = group_->replica();
--- a/test/end_to_end/platform_day_test.cc
+++ b/test/end_to_end/platform_day_test.cc
@@ -2,6 +2,7 @@
 // hosts, restarts, replaced control hosts, upstreams that come and go, and
 // orders that are repeated, raced and refused.
 
+#include <algorithm>
 #include <csignal>
 
 #include <boost/test/unit_test.hpp>
@@ -60,6 +61,27 @@
   BOOST_TEST(scenario.callers->counts().reset_by_upstream == 0U);
 }
 
+// Announcements stay in the failure domain, also after its control host was
+// away; until then they go elsewhere.
+BOOST_AUTO_TEST_CASE(UpstreamsAnnounceThemselvesInTheirDomain) {
+  PacketScenario scenario(MakePacketOptions("platform-nearer"));
+  auto& fleet = *scenario.fleet;
+  auto is_near = [&](const PacketUpstream& upstream) {
+    int domain = upstream.options().failure_domain.back() - '1';
+    return upstream.announces_at() == fleet.ControlEndpoints()[domain];
+  };
+  auto all_near = [&] {
+    return std::all_of(scenario.upstreams.begin(), scenario.upstreams.end(),
+                       is_near);
+  };
+  BOOST_TEST(scenario.Await(milliseconds(3'000), all_near));
+  Stop(scenario, Kind::kControl, 1, SIGKILL);
+  BOOST_TEST(scenario.Await(milliseconds(3'000), [&] { return !all_near(); }));
+  fleet.StartHost(Kind::kControl, 1);
+  BOOST_TEST(scenario.Await(milliseconds(6'000), all_near));
+  CheckUnbroken(scenario);
+}
+
 BOOST_AUTO_TEST_CASE(AControlHostIsReplacedByAnEmptyOne) {
   PacketScenario scenario(MakePacketOptions("platform-replaced"));
   auto& fleet = *scenario.fleet;
--- a/test/standins/packet_world.cc
+++ b/test/standins/packet_world.cc
@@ -4,12 +4,14 @@
 
 #include <algorithm>
 #include <cstring>
+#include <utility>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/endian/conversion.hpp>
+#include <boost/json.hpp>
 
 namespace acaciahold::standins {
 namespace {
@@ -60,7 +62,7 @@
   http::Request request(http::Verb::delete_,
                         "/-/instances/i-" + std::to_string(options_.id), 11);
   asio::co_spawn(io_,
-                 client_.Fetch(options_.control[control_index_], request,
+                 client_.Fetch(announces_at(), request,
                                ReadClock() + Duration(kCallTimeout)),
                  [](std::exception_ptr, const http::FetchResult&) {});
 }
@@ -82,8 +84,7 @@
                           "/-/instances/i-" + std::to_string(options_.id), 11);
     request.body() = MakeAnnouncement();
     bool told_draining = is_draining_;
-    auto result = co_await client_.Fetch(options_.control[control_index_],
-                                         std::move(request),
+    auto result = co_await client_.Fetch(announces_at(), std::move(request),
                                          ReadClock() + Duration(kCallTimeout));
     if (!*lives) {
       co_return;
@@ -93,7 +94,9 @@
     if (is_acknowledged && told_draining && !drain_ack_) {
       drain_ack_ = ReadClock();
     }
-    if (!is_acknowledged) {
+    if (is_acknowledged) {
+      NoteNearerHost(result.response.body());
+    } else if (!std::exchange(nearer_host_, std::nullopt)) {
       control_index_ = (control_index_ + 1) % options_.control.size();
     }
     timer.expires_after(is_acknowledged ? options_.interval
@@ -102,6 +105,20 @@
   }
 }
 
+void PacketUpstream::NoteNearerHost(const std::string& body) {
+  boost::system::error_code ec;
+  auto answer = boost::json::parse(body, ec);
+  const auto* fields = ec ? nullptr : answer.if_object();
+  const auto* nearer = fields ? fields->if_contains("heartbeatAddr") : nullptr;
+  if (!nearer) {
+    return;
+  }
+  auto endpoint = ParseEndpoint(std::string(nearer->as_string()));
+  if (endpoint) {
+    nearer_host_ = *endpoint;
+  }
+}
+
 asio::awaitable<void> PacketUpstream::Receive(std::shared_ptr<bool> lives) {
   std::array<std::byte, 2'048> buf;
   while (*lives) {
--- a/test/standins/packet_world.h
+++ b/test/standins/packet_world.h
@@ -53,6 +53,10 @@
 
   const Options& options() const { return options_; }
   bool is_running() const { return is_running_; }
+  // The control host that it announces itself to.
+  Endpoint announces_at() const {
+    return nearer_host_.value_or(options_.control[control_index_]);
+  }
   // When a control host acknowledged that it drains.
   std::optional<Instant> drain_acknowledged_at() const { return drain_ack_; }
 
@@ -77,6 +81,7 @@
              uint16_t data_bytes);
   void ReplyLater(const platform::PacketHead& head);
   std::string MakeAnnouncement();
+  void NoteNearerHost(const std::string& body);
 
   boost::asio::io_context& io_;
   http::Client& client_;
@@ -88,6 +93,8 @@
   std::chrono::milliseconds delay_{0};
   uint64_t sequence_ = 0;
   size_t control_index_ = 0;
+  // Named by a control host; holds until an announcement fails there.
+  std::optional<Endpoint> nearer_host_;
   std::optional<Instant> drain_ack_;
   std::set<std::pair<Endpoint, Endpoint>> flows_;  // Caller and listener.
   struct LateOpening {
