Tell a host nothing of a directory that it already has

Cause: a host that starts reads the whole directory from each of three feeds, two of them in other failure domains; after a kill of all, 350 hosts do. Change: the greeting names a digest of the directory that the host holds; a feed whose directory has the same says so in place of the records. The digest is over what placement sees: start and phase of upstreams that are not gone or silent.

--- a/include/acaciahold/Directory/directory.h
+++ b/include/acaciahold/Directory/directory.h
@@ -104,6 +104,10 @@
 // Drops what has been gone or silent for kForgetTimeout, and returns it.
 std::vector<UpstreamId> ForgetOld(Directory& directory, Instant now);
 
+// The same for directories that place new flows alike, whatever else they hold;
+// 0 for an empty one.
+uint64_t Digest(const Directory& directory);
+
 // A record as others are to take it in at `now`.
 Record CurrentRecord(const Entry& entry, Instant now);
 
--- a/include/acaciahold/Node/control_node.h
+++ b/include/acaciahold/Node/control_node.h
@@ -115,6 +115,7 @@
   void FeedLater(uint64_t peer);
   void FeedNext();
   void FeedEntryHost(Peer& peer);
+  void SendDirectory(const Peer& peer);
   void SendWholeView(const Peer& peer);
   void SpreadRecord(directory::UpstreamId id);
   void GatherNews(directory::UpstreamId id);
--- a/include/acaciahold/Node/messages.h
+++ b/include/acaciahold/Node/messages.h
@@ -28,6 +28,8 @@
   std::string failure_domain;
   // Of the view that the sender holds already.
   uint64_t revision = 0;
+  // Of the directory that an entry host holds; 0: it has none.
+  uint64_t directory_digest = 0;
 };
 
 // A message of the replicated log.
@@ -80,6 +82,10 @@
   uint64_t revision = 0;  // Of the view that the sender holds.
 };
 
+// To entry hosts, in place of records: this control host's directory is as the
+// entry host's own, which it named in its greeting.
+struct SameDirectory {};
+
 // To entry hosts: all that this control host knows has been sent.
 struct Complete {};
 
@@ -96,6 +102,7 @@
                              Troubles,
                              Suspects,
                              ViewRequest,
+                             SameDirectory,
                              Complete,
                              catalog::ViewChange>;
 
--- a/include/acaciahold/Steering/tag_steering.h
+++ b/include/acaciahold/Steering/tag_steering.h
@@ -238,6 +238,8 @@
 // for so long that its news no longer count.
 void OnFeedBegin(TagSteering& steering, uint32_t feed);
 void OnFeedComplete(TagSteering& steering, uint32_t feed);
+// The feed has heard of the same upstreams as this host, and tells no records.
+void OnSameDirectory(TagSteering& steering, uint32_t feed);
 void OnFeedLost(TagSteering& steering, uint32_t feed, Instant now);
 
 TagDecision OnOpening(TagSteering& steering,
--- a/lib/Directory/directory.cc
+++ b/lib/Directory/directory.cc
@@ -6,6 +6,8 @@
 #include <tuple>
 #include <utility>
 
+#include "acaciahold/Support/hash.h"
+
 namespace acaciahold::directory {
 namespace {
 
@@ -114,6 +116,19 @@
   return forgotten;
 }
 
+uint64_t Digest(const Directory& directory) {
+  uint64_t digest = 0;
+  for (const auto& [id, entry] : directory.entries) {
+    const auto& record = entry.record;
+    if (entry.is_silent || record.phase == Phase::kGone) {
+      continue;
+    }
+    auto start = CombineHashes(id, static_cast<uint64_t>(record.born_ms));
+    digest ^= CombineHashes(start, static_cast<uint64_t>(record.phase));
+  }
+  return digest;
+}
+
 Record CurrentRecord(const Entry& entry, Instant now) {
   Record record = entry.record;
   auto left = std::max(Duration::zero(), entry.cold_deadline - now);
--- a/lib/Node/control_feeds.cc
+++ b/lib/Node/control_feeds.cc
@@ -55,6 +55,23 @@
   peer.session->Send(Encode(KnownHosts()));
   peer.session->Send(Encode(Standing{told_current_}));
   peer.session->Send(Encode(EntryCount{census_.told_count}));
+  bool is_known = peer.hello.directory_digest != 0 &&
+                  peer.hello.directory_digest == directory::Digest(directory_);
+  if (is_known) {
+    peer.session->Send(Encode(SameDirectory{}));
+  } else {
+    SendDirectory(peer);
+  }
+  // After the upstreams, which open flows need; a long table takes a while.
+  if (state_.view.revision > peer.hello.revision) {
+    SendWholeView(peer);
+  }
+  if (is_complete_) {
+    peer.session->Send(Encode(Complete{}));
+  }
+}
+
+void ControlNode::SendDirectory(const Peer& peer) {
   Instant now = ReadClock();
   Records records;
   Silences silences;
@@ -66,13 +83,6 @@
   }
   peer.session->Send(Encode(records));
   peer.session->Send(Encode(silences));
-  // After the upstreams, which open flows need; a long table takes a while.
-  if (state_.view.revision > peer.hello.revision) {
-    SendWholeView(peer);
-  }
-  if (is_complete_) {
-    peer.session->Send(Encode(Complete{}));
-  }
 }
 
 void ControlNode::SendWholeView(const Peer& peer) {
--- a/lib/Node/entry_node.cc
+++ b/lib/Node/entry_node.cc
@@ -181,11 +181,14 @@
 void EntryNode::Greet(uint32_t feed, Instant now) {
   feeds_[feed].is_greeted = true;
   first_feed_deadline_ = now + kFirstFeedTimeout;
-  feeds_[feed].connector->Send(Encode(Hello{settings_.name,
-                                            false,
-                                            {},
-                                            settings_.failure_domain,
-                                            steering_.view.revision}));
+  bool knows_all = steering_.is_complete;
+  feeds_[feed].connector->Send(
+      Encode(Hello{settings_.name,
+                   false,
+                   {},
+                   settings_.failure_domain,
+                   steering_.view.revision,
+                   knows_all ? directory::Digest(steering_.directory) : 0}));
   steering::OnFeedBegin(steering_, feed);
 }
 
@@ -238,6 +241,8 @@
     CountEntryHosts();
   } else if (const auto* suspects = std::get_if<Suspects>(&message)) {
     OnSuspects(*suspects);
+  } else if (std::get_if<SameDirectory>(&message)) {
+    steering::OnSameDirectory(steering_, feed);
   } else if (std::get_if<Complete>(&message)) {
     steering::OnFeedComplete(steering_, feed);
     GreetFeeds(ReadClock());
--- a/lib/Node/messages.cc
+++ b/lib/Node/messages.cc
@@ -25,7 +25,8 @@
           {"is_control", hello.is_control},
           {"link", PackEndpoint(hello.link)},
           {"failure_domain", hello.failure_domain},
-          {"revision", hello.revision}};
+          {"revision", hello.revision},
+          {"directory_digest", hello.directory_digest}};
 }
 
 value EncodePart(const LogMessage& message) {
@@ -78,6 +79,10 @@
   return {{"kind", "view_request"}, {"revision", message.revision}};
 }
 
+value EncodePart(const SameDirectory&) {
+  return {{"kind", "same_directory"}};
+}
+
 value EncodePart(const Complete&) {
   return {{"kind", "complete"}};
 }
@@ -140,7 +145,8 @@
                  from.at("is_control").as_bool(),
                  EndpointOf(from.at("link")),
                  TextAt(from, "failure_domain"),
-                 NumberAt<uint64_t>(from, "revision")};
+                 NumberAt<uint64_t>(from, "revision"),
+                 NumberAt<uint64_t>(from, "directory_digest")};
   }
   if (kind == "log") {
     return DecodeLog(from);
@@ -163,6 +169,9 @@
   if (kind == "entry_count") {
     return EntryCount{NumberAt<uint32_t>(from, "count")};
   }
+  if (kind == "same_directory") {
+    return SameDirectory{};
+  }
   if (kind == "complete") {
     return Complete{};
   }
--- a/lib/Steering/tag_news.cc
+++ b/lib/Steering/tag_news.cc
@@ -140,6 +140,14 @@
   steering.is_complete = true;
 }
 
+void OnSameDirectory(TagSteering& steering, uint32_t feed) {
+  for (auto& [id, upstream] : steering.upstreams) {
+    if (!upstream.entry->is_silent) {
+      upstream.silent_feeds &= ~(FeedMask{1} << feed);
+    }
+  }
+}
+
 void OnFeedLost(TagSteering& steering, uint32_t feed, Instant now) {
   FeedMask rest = steering.open_feeds & ~(FeedMask{1} << feed);
   if (rest == 0) {
--- a/unittests/Directory/directory_test.cc
+++ b/unittests/Directory/directory_test.cc
@@ -114,6 +114,30 @@
   BOOST_TEST(forgotten[0] == 2U);
 }
 
+// Two holders that differ only in what has left, in silence that one of them
+// noticed first, or in repeated announcements place new flows alike.
+BOOST_AUTO_TEST_CASE(TheDigestTellsWhatPlacementSees) {
+  Directory directory;
+  BOOST_TEST(Digest(directory) == 0U);
+  Merge(directory, MakeRecord(1, 5, 1), kStart);
+  auto other = directory;
+  Merge(other, MakeRecord(1, 5, 8), kStart);
+  Merge(other, MakeRecord(2, 5, 1), kStart);
+  Remove(other, 2, 0, kStart);
+  Merge(other, MakeRecord(3, 5, 1), kStart);
+  other.entries.at(3).is_silent = true;
+  BOOST_TEST(Digest(other) == Digest(directory));
+  auto restarted = directory;
+  Merge(restarted, MakeRecord(1, 6, 1), kStart);
+  BOOST_TEST(Digest(restarted) != Digest(directory));
+  auto draining = directory;
+  Merge(draining, Draining(MakeRecord(1, 5, 2)), kStart);
+  BOOST_TEST(Digest(draining) != Digest(directory));
+  auto silent = directory;
+  silent.entries.at(1).is_silent = true;
+  BOOST_TEST(Digest(silent) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(ColdTimeRunsDownOnTheWay) {
   Directory directory;
   auto record = MakeRecord(1, 5, 1);
--- a/unittests/Node/messages_test.cc
+++ b/unittests/Node/messages_test.cc
@@ -46,11 +46,12 @@
 }  // namespace
 
 BOOST_AUTO_TEST_CASE(EachMessageComesBackAsItWas) {
-  auto hello = RoundTrip(Hello{"h", true, {1, 2}, "north", 9});
+  auto hello = RoundTrip(Hello{"h", true, {1, 2}, "north", 9, 1ULL << 63U});
   BOOST_TEST(hello.name == "h");
   BOOST_TEST(hello.is_control);
   BOOST_CHECK(hello.link == (Endpoint{1, 2}));
   BOOST_TEST(hello.revision == 9U);
+  BOOST_TEST(hello.directory_digest == 1ULL << 63U);
   LogMessage log;
   log.from = {3, 4};
   log.message.kind = consensus::MessageKind::kAppend;
@@ -78,6 +79,7 @@
   BOOST_CHECK(RoundTrip(hosts).hosts == hosts.hosts);
   BOOST_TEST(RoundTrip(Standing{true}).is_current);
   RoundTrip(Complete{});
+  RoundTrip(SameDirectory{});
   BOOST_TEST(RoundTrip(EntryHosts{{"e1", "e2"}}).names[1] == "e2");
   BOOST_TEST(RoundTrip(EntryCount{7}).count == 7U);
   catalog::ViewChange change;
--- a/unittests/Steering/tag_steering_test.cc
+++ b/unittests/Steering/tag_steering_test.cc
@@ -73,6 +73,19 @@
 
 }  // namespace
 
+// A second feed knows the same upstreams and tells no records of them; it
+// counts as one that has heard of them.
+BOOST_AUTO_TEST_CASE(AFeedWithTheSameDirectoryHearsAllUpstreams) {
+  auto steering = MakeSteering();
+  OnFeedBegin(steering, 1);
+  OnSameDirectory(steering, 1);
+  OnFeedComplete(steering, 1);
+  BOOST_TEST(!OnSilence(steering, 0, 1, kStart));
+  BOOST_TEST(!IsSilent(steering, steering.upstreams.at(1)));
+  BOOST_TEST(OnSilence(steering, 1, 1, kStart));
+  BOOST_TEST(IsSilent(steering, steering.upstreams.at(1)));
+}
+
 BOOST_AUTO_TEST_CASE(NothingIsDecidedWithoutATable) {
   auto steering = MakeTagSteering("north", 1);
   auto decision = OnOpening(steering, MakeOpening(1), kStart);
