Ask feeds one after the other, and carry the phase with refreshments

All control hosts had the record within 5 ms. edge-kgl-e-50, back from a cut at 13.96 s, did not: it lost its links 13 times between 14 and 26 s. It asked all six control hosts at once, each sent its directory of 110 KB over a link of 2 Mbit/s, keep-alives waited behind, links were given up after 1.5 s of silence and opened again, with all to be sent anew. 1,025 links were lost so between 14 and 28 s. Beside it, from reading: a refreshment raised the sequence of a record whose phase was lost with a link, so that the record would be stale for good. Ruled out: spread among control hosts (all "told" within 5 ms); a clock (none stepped); word of an earlier start. Change: feeds are asked one after the other (a core of its own); one that says nothing for 100 ms, or does not end within 500 ms, holds up nobody; the second and third then mostly say that they know the same. Refreshments carry the phase.

--- a/include/acaciahold/Directory/directory.h
+++ b/include/acaciahold/Directory/directory.h
@@ -87,10 +87,13 @@
   UpstreamId id = 0;
   int64_t born_ms = 0;  // Of the start that announced itself.
   uint64_t sequence = 0;
+  // As the sender knows it. The record that changed it may have been lost, and
+  // would be stale after this.
+  Phase phase = Phase::kServing;
 };
 
 // Takes such word in. kStale where no record of that start is known; kChanged
-// where it had been silent.
+// where it had been silent, or was known in another phase.
 Change Refresh(Directory& directory,
                const Refreshment& refreshment,
                Instant heard_at);
--- a/include/acaciahold/Node/entry_node.h
+++ b/include/acaciahold/Node/entry_node.h
@@ -17,6 +17,7 @@
 
 #include "acaciahold/Link/link.h"
 #include "acaciahold/Node/feed_choice.h"
+#include "acaciahold/Node/greetings.h"
 #include "acaciahold/Node/messages.h"
 #include "acaciahold/Node/node_settings.h"
 #include "acaciahold/Steering/tag_steering.h"
@@ -41,9 +42,6 @@
 inline constexpr Duration kForgetInterval = std::chrono::seconds(5);
 // Troubles with upstreams are told this often, where there were any.
 inline constexpr Duration kTroubleInterval = std::chrono::milliseconds(200);
-// At a start one feed tells all that it knows before others are asked, so that
-// the table is read once; after so long others are asked as well.
-inline constexpr Duration kFirstFeedTimeout = std::chrono::milliseconds(100);
 
 class EntryNode {
  public:
@@ -103,6 +101,7 @@
   void Tick();
   void DropLostFeeds(Instant now);
   bool IsCurrent(const Feed& feed) const;
+  bool IsToBeAsked(const Feed& feed) const;
   std::vector<FeedReach> ReachOfFeeds() const;
   void CheckReach(Instant now);
   void CheckPlan(Instant now);
@@ -120,7 +119,7 @@
   boost::asio::steady_timer timer_;
   std::function<void()> on_complete_;
   Instant forget_deadline_;
-  Instant first_feed_deadline_;
+  Greetings greetings_;
   Instant trouble_deadline_;
   bool is_leaving_ = false;
   bool is_out_of_reach_ = false;  // Cut off from what its callers need.
--- a/lib/Directory/directory.cc
+++ b/lib/Directory/directory.cc
@@ -82,9 +82,11 @@
   }
   auto& entry = it->second;
   bool was_silent = std::exchange(entry.is_silent, false);
+  bool is_other_phase = known.phase != refreshment.phase;
+  entry.record.phase = refreshment.phase;
   entry.record.sequence = refreshment.sequence;
   entry.heard_at = std::max(entry.heard_at, heard_at);
-  return was_silent ? Change::kChanged : Change::kRefreshed;
+  return was_silent || is_other_phase ? Change::kChanged : Change::kRefreshed;
 }
 
 std::vector<UpstreamId> CheckSilence(Directory& directory,
--- a/lib/Node/control_feeds.cc
+++ b/lib/Node/control_feeds.cc
@@ -149,7 +149,7 @@
   auto change = directory::Merge(directory_, record, now);
   if (change == Change::kRefreshed) {
     refreshes_.refreshments.push_back(
-        {record.id, record.born_ms, record.sequence});
+        {record.id, record.born_ms, record.sequence, record.phase});
   } else if (change == Change::kChanged) {
     SpreadRecord(record.id);
   }
--- a/lib/Node/entry_node.cc
+++ b/lib/Node/entry_node.cc
@@ -85,6 +85,12 @@
          feed.connector->IsHeard(kQuietTime);
 }
 
+// Whether the feed is in reach and only waits for its greeting.
+bool EntryNode::IsToBeAsked(const Feed& feed) const {
+  return feed.is_connected && !feed.is_greeted &&
+         feed.connector->IsHeard(kQuietTime);
+}
+
 std::vector<FeedReach> EntryNode::ReachOfFeeds() const {
   std::vector<FeedReach> reach;
   for (const auto& feed : feeds_) {
@@ -97,7 +103,8 @@
 void EntryNode::CheckPlan(Instant now) {
   auto current =
       std::count_if(feeds_.begin(), feeds_.end(), [&](const Feed& feed) {
-        return IsCurrent(feed) && chosen_.contains(feed.to);
+        return (IsCurrent(feed) || IsToBeAsked(feed)) &&
+               chosen_.contains(feed.to);
       });
   if (UpdatePlan(plan_, chosen_.size(), static_cast<size_t>(current), now)) {
     LogEvent(Weight::kNotable, "feeds_changed",
@@ -180,7 +187,7 @@
 
 void EntryNode::Greet(uint32_t feed, Instant now) {
   feeds_[feed].is_greeted = true;
-  first_feed_deadline_ = now + kFirstFeedTimeout;
+  OnGreeted(greetings_, feed, now);
   bool knows_all = steering_.is_complete;
   feeds_[feed].connector->Send(
       Encode(Hello{settings_.name,
@@ -192,11 +199,10 @@
   steering::OnFeedBegin(steering_, feed);
 }
 
-// Asks connected feeds to tell what they know: one at first.
+// Asks connected feeds to tell what they know, one after the other.
 void EntryNode::GreetFeeds(Instant now) {
-  for (uint32_t i = 0; i < kMaxFeeds; ++i) {
-    bool is_due = steering_.is_complete || now >= first_feed_deadline_;
-    if (is_due && feeds_[i].is_connected && !feeds_[i].is_greeted) {
+  for (uint32_t i = 0; i < kMaxFeeds && MayGreet(greetings_, now); ++i) {
+    if (feeds_[i].is_connected && !feeds_[i].is_greeted) {
       Greet(i, now);
     }
   }
@@ -206,6 +212,7 @@
   feeds_[feed].is_connected = false;
   feeds_[feed].is_greeted = false;
   feeds_[feed].is_current = false;
+  OnEnd(greetings_, feed);
   CountEntryHosts();
   feeds_[feed].lost_deadline = ReadClock() + kFeedTimeout;
   LogEvent(Weight::kNotable, "feed_lost",
@@ -219,6 +226,7 @@
              {{"link", FormatEndpoint(feeds_[feed].to)}});
     return;
   }
+  OnWord(greetings_, feed, ReadClock());
   OnNews(feed, *message);
 }
 
@@ -245,6 +253,7 @@
     steering::OnSameDirectory(steering_, feed);
   } else if (std::get_if<Complete>(&message)) {
     steering::OnFeedComplete(steering_, feed);
+    OnEnd(greetings_, feed);
     GreetFeeds(ReadClock());
     on_complete_();
   } else if (const auto* change = std::get_if<catalog::ViewChange>(&message)) {
@@ -378,6 +387,7 @@
 void EntryNode::StopFeed(uint32_t feed) {
   feeds_[feed].connector->Stop();
   feeds_[feed] = {};
+  OnEnd(greetings_, feed);
   steering::OnFeedLost(steering_, feed, ReadClock());
 }
 
--- a/lib/Wire/news.cc
+++ b/lib/Wire/news.cc
@@ -58,6 +58,7 @@
     list.add_ids(it.id);
     list.add_born_ms(static_cast<uint64_t>(it.born_ms));
     list.add_sequences(it.sequence);
+    list.add_phases(static_cast<uint32_t>(it.phase));
   }
 }
 
@@ -129,15 +130,19 @@
 
 std::optional<News> ReadRefreshes(const news::RefreshList& list) {
   bool is_even = list.ids_size() == list.born_ms_size() &&
-                 list.ids_size() == list.sequences_size();
+                 list.ids_size() == list.sequences_size() &&
+                 list.ids_size() == list.phases_size();
   if (!is_even) {
     return std::nullopt;
   }
   Refreshes refreshes;
   for (int i = 0; i < list.ids_size(); ++i) {
-    refreshes.refreshments.push_back({list.ids(i),
-                                      static_cast<int64_t>(list.born_ms(i)),
-                                      list.sequences(i)});
+    if (list.phases(i) > kLastPhase) {
+      return std::nullopt;
+    }
+    refreshes.refreshments.push_back(
+        {list.ids(i), static_cast<int64_t>(list.born_ms(i)), list.sequences(i),
+         static_cast<directory::Phase>(list.phases(i))});
   }
   return refreshes;
 }
--- a/unittests/Directory/directory_test.cc
+++ b/unittests/Directory/directory_test.cc
@@ -138,6 +138,20 @@
   BOOST_TEST(Digest(silent) == 0U);
 }
 
+// The record of a phase was lost with its link; a third host's word of a later
+// announcement must not hide it for good.
+BOOST_AUTO_TEST_CASE(ARefreshmentBringsThePhaseOfALostRecord) {
+  Directory directory;
+  Merge(directory, MakeRecord(1, 5, 1), kStart);
+  Refreshment later{1, 5, 3, Phase::kDraining};
+  BOOST_CHECK(Refresh(directory, later, kStart) == Change::kChanged);
+  BOOST_CHECK(directory.entries.at(1).record.phase == Phase::kDraining);
+  BOOST_CHECK(Merge(directory, Draining(MakeRecord(1, 5, 2)), kStart) ==
+              Change::kStale);
+  later.sequence = 4;
+  BOOST_CHECK(Refresh(directory, later, kStart) == Change::kRefreshed);
+}
+
 BOOST_AUTO_TEST_CASE(ColdTimeRunsDownOnTheWay) {
   Directory directory;
   auto record = MakeRecord(1, 5, 1);
--- a/unittests/Node/messages_test.cc
+++ b/unittests/Node/messages_test.cc
@@ -71,9 +71,12 @@
   BOOST_REQUIRE(records_back.records.size() == 1U);
   BOOST_TEST(records_back.records[0].id == 11U);
   BOOST_TEST(records_back.is_whole);
-  auto refreshes = RoundTrip(Refreshes{{{1, 2, 3}, {4, 5, 6}}});
+  auto refreshes =
+      RoundTrip(Refreshes{{{1, 2, 3, directory::Phase::kServing},
+                           {4, 5, 6, directory::Phase::kDraining}}});
   BOOST_TEST(refreshes.refreshments[1].born_ms == 5);
   BOOST_TEST(refreshes.refreshments[1].sequence == 6U);
+  BOOST_CHECK(refreshes.refreshments[1].phase == directory::Phase::kDraining);
   BOOST_TEST(RoundTrip(Silences{{1, 2}}).ids[1] == 2U);
   Hosts hosts{{{{1, 2}, "north"}}};
   BOOST_CHECK(RoundTrip(hosts).hosts == hosts.hosts);
