--- a/unittests/Node/entry_census_test.cc
+++ b/unittests/Node/entry_census_test.cc
@@ -2,6 +2,8 @@
 
 #include "acaciahold/Node/entry_census.h"
 
+#include <algorithm>
+
 #include <boost/test/unit_test.hpp>
 
 namespace acaciahold::node {
@@ -30,9 +32,9 @@
   auto census = StartCensus(kStart);
   Told told;
   Instant now = kStart;
-  for (int tick = 0; tick < 40; ++tick) {
+  for (size_t tick = 1; tick <= 40; ++tick) {
     now += kTick;
-    auto fed = std::min<size_t>(hosts, 50 * (tick + 1));
+    auto fed = std::min<size_t>(hosts, 50 * tick);
     auto news = TakeNews(census, MakeNames(0, fed), now);
     told.names += news.names.size();
     told.counts += news.count ? 1 : 0;
--- a/unittests/Wire/news_test.cc
+++ b/unittests/Wire/news_test.cc
@@ -62,9 +62,10 @@
 }
 
 BOOST_AUTO_TEST_CASE(DamagedNewsAreRefusedWhole) {
-  auto bytes = EncodeNews(MakeRecords(3));
+  auto encoded = EncodeNews(MakeRecords(3));
+  std::string_view bytes = encoded;
   for (size_t n = 1; n < bytes.size(); ++n) {
-    auto cut = DecodeNews(std::string_view(bytes).substr(0, n));
+    auto cut = DecodeNews(bytes.substr(0, n));
     BOOST_CHECK(!cut);
   }
   BOOST_CHECK(!DecodeNews(""));
