--- a/test/end_to_end/platform_day_test.cc
+++ b/test/end_to_end/platform_day_test.cc
@@ -122,6 +122,31 @@
   BOOST_TEST(scenario.callers->counts().reset_while_open == 0U);
 }
 
+// Two control hosts can't reach each other while the third reaches both. An
+// upstream that leaves tells one of the two; the table is changed through
+// either.
+BOOST_AUTO_TEST_CASE(ABridgeBetweenControlHostsHidesNothing) {
+  auto options = MakePacketOptions("platform-bridge");
+  options.fleet.has_proxies = true;
+  PacketScenario scenario(options);
+  auto& fleet = *scenario.fleet;
+  fleet.RunFor(milliseconds(1'500));
+  fleet.CutBetween(0, 1);
+  fleet.RunFor(milliseconds(2'500));
+  BOOST_TEST(scenario.ChangeConfig(2));
+  auto& draining = scenario.upstreams.front();
+  draining.Drain();
+  fleet.RunFor(kInForce + milliseconds(500));
+  BOOST_TEST(draining.drain_acknowledged_at().has_value());
+  BOOST_TEST(draining.OpeningsAfterDrain(Duration(kInForce)) == 0U);
+  BOOST_TEST(fleet.ReadConfig(kOrderTimeout).value_or("") == scenario.config());
+  fleet.ProxyOf(0).Heal();
+  fleet.ProxyOf(1).Heal();
+  fleet.RunFor(milliseconds(2'000));
+  BOOST_TEST(scenario.ChangeConfig(3));
+  CheckUnbroken(scenario);
+}
+
 BOOST_AUTO_TEST_CASE(OrdersAreRepeatedRacedRefusedAndKept) {
   PacketScenario scenario(MakePacketOptions("platform-orders"));
   auto& fleet = *scenario.fleet;
--- a/test/soak/main.cc
+++ b/test/soak/main.cc
@@ -4,13 +4,14 @@
 //
 // Faults: entry and control hosts are stopped, paused, killed and started
 // again; control hosts lose their disks, or find them full; a proxy delays,
-// resets, silences or cuts one way the links to a control host; upstreams
-// drain, crash and start again under their id; orders are sent meanwhile. They
-// overlap.
+// resets, silences or cuts one way the links to a control host, or cuts those
+// between two of them while the third reaches both; upstreams drain, crash and
+// start again under their id; orders are sent meanwhile. They overlap.
 
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <map>
 #include <random>
 
 #include <sys/resource.h>
@@ -31,8 +32,22 @@
 constexpr milliseconds kDrainBound{3'000};
 
 // Which faults a run draws from. Seeds that failed before there were others
-// keep their meaning with kOfHosts.
-enum class Faults { kOfHosts, kAll };
+// keep their meaning: kAll has kOfHosts, links and disks, kBridges has all and
+// cuts between two control hosts.
+enum class Faults { kOfHosts, kAll, kBridges };
+
+// Kinds of steps that a run draws from.
+int KindsOf(Faults faults) {
+  switch (faults) {
+    case Faults::kOfHosts:
+      return 6;
+    case Faults::kAll:
+      return 8;
+    case Faults::kBridges:
+      return 10;
+  }
+  return 0;
+}
 
 class Soak {
  public:
@@ -40,7 +55,7 @@
       : scenario_(scenario),
         fleet_(*scenario.fleet),
         random_(seed),
-        kinds_(faults == Faults::kOfHosts ? 6 : 8) {}
+        kinds_(KindsOf(faults)) {}
 
   void Run(int steps) {
     for (int i = 0; i < steps; ++i) {
@@ -56,7 +71,7 @@
   int faults() const { return faults_; }
 
  private:
-  enum class Trouble { kEnded, kPaused, kLinks, kDisk };
+  enum class Trouble { kEnded, kPaused, kLinks, kDisk, kBridge };
   struct Down {
     Kind kind = Kind::kEntry;
     int index = 0;
@@ -104,6 +119,10 @@
       case 7:
         FillDisk(Draw(kHosts));
         break;
+      case 8:
+      case 9:
+        CutBridge(Draw(kHosts));
+        break;
       default:
         ChangeConfig();
     }
@@ -168,6 +187,15 @@
     }
   }
 
+  // The control host and the next one lose each other.
+  void CutBridge(int index) {
+    if (CountDown(Kind::kControl) == 0) {
+      Say("cut between control " + std::to_string(index) + " and the next");
+      fleet_.CutBetween(index, (index + 1) % kHosts);
+      down_.push_back({Kind::kControl, index, Trouble::kBridge, 2 + Draw(6)});
+    }
+  }
+
   void DisturbUpstream() {
     PacketUpstream* chosen = nullptr;
     for (auto& upstream : scenario_.upstreams) {
@@ -220,6 +248,10 @@
       case Trouble::kLinks:
         fleet_.ProxyOf(it.index).Heal();
         break;
+      case Trouble::kBridge:
+        fleet_.ProxyOf(it.index).Heal();
+        fleet_.ProxyOf((it.index + 1) % kHosts).Heal();
+        break;
       case Trouble::kDisk:
         fleet_.LimitFiles(it.index, RLIM_INFINITY);
         break;
@@ -288,7 +320,7 @@
   options.fleet.folder = folder + "/seed-" + std::to_string(seed);
   const char* network = std::getenv("ACACIAHOLD_TEST_NETWORK");
   options.fleet.network = network ? std::atoi(network) : 22;
-  options.fleet.has_proxies = faults == Faults::kAll;
+  options.fleet.has_proxies = faults != Faults::kOfHosts;
   options.seed = seed;
   PacketScenario scenario(options);
   Soak soak(scenario, seed, faults);
@@ -300,13 +332,16 @@
 }  // namespace acaciahold::standins
 
 // Words: the binary, a folder for files, the first seed, how many seeds, steps,
-// and the faults to draw from: all or hosts.
+// and the faults to draw from: hosts, all or bridges.
 int main(int argc, char** argv) {
   using acaciahold::standins::Faults;
-  std::string kind = argc == 7 ? argv[6] : "";
-  if (kind != "all" && kind != "hosts") {
+  const std::map<std::string, Faults> kinds{{"hosts", Faults::kOfHosts},
+                                            {"all", Faults::kAll},
+                                            {"bridges", Faults::kBridges}};
+  auto kind = kinds.find(argc == 7 ? argv[6] : "");
+  if (kind == kinds.end()) {
     std::cerr << "usage: acaciahold_soak BINARY FOLDER SEED SEEDS STEPS "
-                 "all|hosts\n";
+                 "hosts|all|bridges\n";
     return 2;
   }
   // A full disk is a failed write, here and in the hosts.
@@ -315,9 +350,8 @@
   uint64_t first = std::strtoull(argv[3], nullptr, 10);
   uint64_t seeds = std::strtoull(argv[4], nullptr, 10);
   for (uint64_t seed = first; seed < first + seeds; ++seed) {
-    found += acaciahold::standins::RunSeed(
-        argv[1], argv[2], seed, std::atoi(argv[5]),
-        kind == "all" ? Faults::kAll : Faults::kOfHosts);
+    found += acaciahold::standins::RunSeed(argv[1], argv[2], seed,
+                                           std::atoi(argv[5]), kind->second);
   }
   std::cout << seeds << " seeds, " << found << " faults\n";
   return found == 0 ? 0 : 1;
--- a/test/standins/fault_proxy.cc
+++ b/test/standins/fault_proxy.cc
@@ -2,6 +2,9 @@
 
 #include "fault_proxy.h"
 
+#include <algorithm>
+#include <string_view>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/buffer.hpp>
@@ -11,6 +14,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include "acaciahold/Node/messages.h"
+
 namespace acaciahold::standins {
 namespace {
 
@@ -27,6 +32,26 @@
   return {asio::ip::address_v4(endpoint.address), endpoint.port};
 }
 
+// The name in the greeting that stands among these frames; empty where none
+// does. Each frame is a message behind its length in network byte order.
+std::string FindOpener(std::string_view bytes) {
+  constexpr size_t kHeadBytes = 4;
+  while (bytes.size() >= kHeadBytes) {
+    size_t n = 0;
+    for (char byte : bytes.substr(0, kHeadBytes)) {
+      n = (n << 8U) | static_cast<unsigned char>(byte);
+    }
+    bytes.remove_prefix(kHeadBytes);
+    auto message = node::DecodeMessage(bytes.substr(0, n));
+    const auto* hello = message ? std::get_if<node::Hello>(&*message) : nullptr;
+    if (hello) {
+      return hello->name;
+    }
+    bytes.remove_prefix(std::min(n, bytes.size()));
+  }
+  return "";
+}
+
 }  // namespace
 
 FaultProxy::FaultProxy(asio::io_context& io, Endpoint at, Endpoint to)
@@ -79,7 +104,10 @@
       timer.expires_after(*delay);
       co_await timer.async_wait(kToken);
     }
-    while ((pair->is_silent || cut->at(way)) && to.is_open()) {
+    if (way == kTowards && pair->opener.empty()) {
+      pair->opener = FindOpener({buf.data(), n});
+    }
+    while (IsCut(*pair, way, *cut) && to.is_open()) {
       timer.expires_after(kLookInterval);
       co_await timer.async_wait(kToken);
     }
@@ -100,6 +128,10 @@
   }
 }
 
+bool FaultProxy::IsCut(const Pair& pair, Way way, const Cut& cut) {
+  return pair.is_silent || cut.ways.at(way) || cut.hosts.contains(pair.opener);
+}
+
 void FaultProxy::Reset(Pair& pair) {
   for (auto* socket : {&pair.near, &pair.far}) {
     boost::system::error_code ignored;  // Closing it is all that matters.
--- a/test/standins/fault_proxy.h
+++ b/test/standins/fault_proxy.h
@@ -8,6 +8,8 @@
 #include <chrono>
 #include <list>
 #include <memory>
+#include <set>
+#include <string>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -31,14 +33,20 @@
   void SilenceAll();
   // Carries nothing towards `to`, or nothing from it, until Heal; what was
   // under way arrives then. Holds for new connections as well.
-  void CutTowards() { cut_->at(kTowards) = true; }
-  void CutFrom() { cut_->at(kFrom) = true; }
+  void CutTowards() { cut_->ways.at(kTowards) = true; }
+  void CutFrom() { cut_->ways.at(kFrom) = true; }
+  // Carries nothing either way on links that the host of this name opened, as
+  // it says in its greeting; others go on.
+  void CutHost(const std::string& name) { cut_->hosts.insert(name); }
   // Ends delays and cuts.
   void Heal();
 
  private:
   enum Way : size_t { kTowards, kFrom };
-  using Cut = std::array<bool, 2>;
+  struct Cut {
+    std::array<bool, 2> ways{};
+    std::set<std::string> hosts;
+  };
   // One connection, and its way on.
   struct Pair {
     explicit Pair(boost::asio::io_context& io) : near(io), far(io) {}
@@ -46,6 +54,7 @@
     boost::asio::ip::tcp::socket far;
     bool is_silent = false;
     int open_ways = 2;
+    std::string opener;  // Empty until its greeting has come.
   };
 
   void Accept();
@@ -55,6 +64,7 @@
       Way way,
       std::shared_ptr<std::chrono::milliseconds> delay,
       std::shared_ptr<Cut> cut);
+  static bool IsCut(const Pair& pair, Way way, const Cut& cut);
   static void Reset(Pair& pair);
 
   boost::asio::io_context& io_;
--- a/test/standins/node_fleet.cc
+++ b/test/standins/node_fleet.cc
@@ -35,6 +35,11 @@
   return "fd" + std::to_string(index % 3 + 1);
 }
 
+std::string NameOf(NodeFleet::Kind kind, int index) {
+  bool is_entry = kind == NodeFleet::Kind::kEntry;
+  return (is_entry ? "entry-" : "control-") + std::to_string(index);
+}
+
 std::optional<Endpoint> RedirectedTo(const http::Response& response) {
   auto it = response.find(http::Field::location);
   constexpr std::string_view kScheme = "http://";
@@ -110,10 +115,8 @@
   auto at = [&](uint16_t port) {
     return FormatEndpoint(At(group, host.address, port));
   };
-  std::string name =
-      (is_entry ? "entry-" : "control-") + std::to_string(host.index);
   std::string text =
-      "node:\n  name: " + name +
+      "node:\n  name: " + NameOf(host.kind, host.index) +
       "\n  role: " + (is_entry ? "entry" : "control") +
       "\n  failure_domain: " + DomainOf(host.index) +
       "\n  address: " + FormatAddress(At(group, host.address, 0).address) +
@@ -160,9 +163,7 @@
 
 std::string NodeFleet::PathOf(const Host& host,
                               const std::string& suffix) const {
-  return options_.folder +
-         (host.kind == Kind::kEntry ? "/entry-" : "/control-") +
-         std::to_string(host.index) + suffix;
+  return options_.folder + "/" + NameOf(host.kind, host.index) + suffix;
 }
 
 std::vector<std::string> NodeFleet::LogPaths() const {
@@ -227,6 +228,11 @@
   host.proxy.reset();
 }
 
+void NodeFleet::CutBetween(int control_index, int other_index) {
+  ProxyOf(control_index).CutHost(NameOf(Kind::kControl, other_index));
+  ProxyOf(other_index).CutHost(NameOf(Kind::kControl, control_index));
+}
+
 FaultProxy& NodeFleet::ProxyOf(int control_index) {
   return *Find(Kind::kControl, control_index).proxy;
 }
--- a/test/standins/node_fleet.h
+++ b/test/standins/node_fleet.h
@@ -54,6 +54,8 @@
 
   // Of FleetOptions::has_proxies.
   FaultProxy& ProxyOf(int control_index);
+  // Two control hosts lose each other; all other links go on.
+  void CutBetween(int control_index, int other_index);
   // A control host's files take no more than so many bytes each from now on;
   // the parent ignores SIGXFSZ, and so do its children.
   void LimitFiles(int control_index, uint64_t bytes);
