Count troubles by service when upstreams are judged

Change: a directory lists its upstreams by service; only services with an upstream in trouble are counted. Test: UpstreamsAreListedByService; the tests of suspicion hold as they were.

--- a/bench/tagged.cc
+++ b/bench/tagged.cc
@@ -2,6 +2,7 @@
 // packet over loopback sockets beside a forwarder that decides nothing.
 
 #include <ctime>
+#include <vector>
 
 #include <arpa/inet.h>
 #include <benchmark/benchmark.h>
@@ -94,6 +95,22 @@
   }
 }
 
+// Judging a hung upstream of one service, beside so many upstreams of others.
+void JudgeSuspects(benchmark::State& state) {
+  auto steering = steering::MakeTagSteering("fd1", kSeed);
+  Fill(steering, 9);
+  FillOthers(steering, static_cast<uint32_t>(state.range(0)));
+  directory::Suspicions suspicions;
+  std::vector<directory::Trouble> troubles{{1, 1}, {2, 3}};
+  Instant now = kNow;
+  for (auto unused : state) {
+    now += directory::kJudgeInterval;
+    directory::OnTroubles(suspicions, "host", troubles, now);
+    benchmark::DoNotOptimize(
+        directory::Judge(suspicions, steering.directory, now));
+  }
+}
+
 // Sends batches of packets to a port under test, and takes what comes out.
 class Loop {
  public:
@@ -197,6 +214,7 @@
 
 BENCHMARK(DecideTagged)->Arg(10'000)->Arg(1'000'000);
 BENCHMARK(DecideOpening)->Arg(0)->Arg(15'000);
+BENCHMARK(JudgeSuspects)->Arg(0)->Arg(15'000);
 BENCHMARK(ForwardBare)->UseManualTime();
 BENCHMARK(ForwardWhole)->UseManualTime();
 
--- a/include/acaciahold/Directory/directory.h
+++ b/include/acaciahold/Directory/directory.h
@@ -11,7 +11,9 @@
 #define ACACIAHOLD_DIRECTORY_DIRECTORY_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -53,6 +55,8 @@
 
 struct Directory {
   std::map<UpstreamId, Entry> entries;
+  // Invariant: each entry's id under its record's service, and nothing else.
+  std::map<std::string, std::set<UpstreamId>, std::less<>> by_service;
 };
 
 // Three announcements may be lost in a row before an upstream counts as silent.
--- a/lib/Directory/directory.cc
+++ b/lib/Directory/directory.cc
@@ -22,6 +22,17 @@
          a.phase == b.phase && a.born_ms == b.born_ms;
 }
 
+void LeaveService(Directory& directory, const Record& record) {
+  auto it = directory.by_service.find(record.service);
+  if (it == directory.by_service.end()) {
+    return;
+  }
+  it->second.erase(record.id);
+  if (it->second.empty()) {
+    directory.by_service.erase(it);
+  }
+}
+
 }  // namespace
 
 Change Merge(Directory& directory, const Record& record, Instant heard_at) {
@@ -40,6 +51,10 @@
                     entry.is_silent || was_cold != (record.cold_ms > 0);
   uint64_t sequence =
       std::max(is_leaving ? entry.record.sequence : 0, record.sequence);
+  if (!is_new && entry.record.service != record.service) {
+    LeaveService(directory, entry.record);
+  }
+  directory.by_service[record.service].insert(record.id);
   entry.record = record;
   entry.record.sequence = sequence;
   entry.heard_at = std::max(entry.heard_at, heard_at);
@@ -111,6 +126,7 @@
     bool has_left = entry.is_silent || entry.record.phase == Phase::kGone;
     bool is_old = has_left && now >= entry.heard_at + kForgetTimeout;
     if (is_old) {
+      LeaveService(directory, entry.record);
       forgotten.push_back(it.first);
     }
     return is_old;
--- a/lib/Directory/suspicion.cc
+++ b/lib/Directory/suspicion.cc
@@ -37,18 +37,38 @@
   return seen;
 }
 
+ServiceLoad CountService(std::string_view service,
+                         const std::map<UpstreamId, Seen>& seen,
+                         const Directory& directory) {
+  ServiceLoad load;
+  auto ids = directory.by_service.find(service);
+  if (ids == directory.by_service.end()) {
+    return load;
+  }
+  for (auto id : ids->second) {
+    if (TakesFlows(directory.entries.at(id))) {
+      auto it = seen.find(id);
+      load.troubles += it == seen.end() ? 0 : it->second.troubles;
+      ++load.upstreams;
+    }
+  }
+  return load;
+}
+
+// Of services with an upstream in trouble; the others need no mean.
 std::map<std::string_view, ServiceLoad> CountByService(
     const std::map<UpstreamId, Seen>& seen,
     const Directory& directory) {
   std::map<std::string_view, ServiceLoad> services;
-  for (const auto& [id, entry] : directory.entries) {
-    if (!TakesFlows(entry)) {
+  for (const auto& [id, troubles] : seen) {
+    auto entry = directory.entries.find(id);
+    if (entry == directory.entries.end()) {
       continue;
     }
-    auto& service = services[entry.record.service];
-    auto it = seen.find(id);
-    service.troubles += it == seen.end() ? 0 : it->second.troubles;
-    ++service.upstreams;
+    const auto& service = entry->second.record.service;
+    if (!services.contains(service)) {
+      services[service] = CountService(service, seen, directory);
+    }
   }
   return services;
 }
--- a/unittests/Directory/directory_test.cc
+++ b/unittests/Directory/directory_test.cc
@@ -152,6 +152,21 @@
   BOOST_CHECK(Refresh(directory, later, kStart) == Change::kRefreshed);
 }
 
+BOOST_AUTO_TEST_CASE(UpstreamsAreListedByService) {
+  Directory directory;
+  Merge(directory, MakeRecord(1, 5, 1), kStart);
+  Merge(directory, MakeRecord(2, 5, 1), kStart);
+  auto moved = MakeRecord(1, 6, 1);
+  moved.service = "returns";
+  Merge(directory, moved, kStart);
+  Remove(directory, 2, 0, kStart);
+  BOOST_TEST(directory.by_service.at("orders") == std::set<UpstreamId>{2});
+  BOOST_TEST(directory.by_service.at("returns") == std::set<UpstreamId>{1});
+  ForgetOld(directory, kStart + kForgetTimeout);
+  BOOST_TEST(!directory.by_service.contains("orders"));
+  BOOST_TEST(directory.by_service.contains("returns"));
+}
+
 BOOST_AUTO_TEST_CASE(ColdTimeRunsDownOnTheWay) {
   Directory directory;
   auto record = MakeRecord(1, 5, 1);
