--- a/lib/Node/control_feeds.cc
+++ b/lib/Node/control_feeds.cc
@@ -1,7 +1,6 @@
 // The directory of a control host, and what it tells entry hosts: all that is
 // known to a new one, then changes alone.
 
-#include <algorithm>
 #include <utility>
 
 #include <boost/asio/post.hpp>
