Take out the JSON reading of a view, which nothing calls any more

Cause: found on reading the whole change again: views travel as changes in the compact form, so ViewFromJson was left without a caller; an include beside it too. Behaviour as before. The whole tree builds; the unit tests of Catalog, Directory, Steering, Wire, Node and platform pass.

--- a/include/acaciahold/Catalog/catalog.h
+++ b/include/acaciahold/Catalog/catalog.h
@@ -94,7 +94,6 @@
 boost::json::value ToJson(const State& state);
 
 // Each fails with FieldError where the value has another form.
-Result<View> ViewFromJson(const boost::json::value& value);
 Result<Command> CommandFromJson(const boost::json::value& value);
 Result<State> StateFromJson(const boost::json::value& value);
 
--- a/lib/Catalog/catalog_json.cc
+++ b/lib/Catalog/catalog_json.cc
@@ -105,10 +105,6 @@
   return {{"view", ToJson(state.view)}, {"source", state.source}};
 }
 
-Result<View> ViewFromJson(const value& from) {
-  return Decode([&] { return DecodeView(from.as_object()); });
-}
-
 Result<Command> CommandFromJson(const value& from) {
   return Decode([&] {
     const auto& fields = from.as_object();
--- a/lib/Catalog/view_change.cc
+++ b/lib/Catalog/view_change.cc
@@ -2,7 +2,6 @@
 
 #include "acaciahold/Catalog/view_change.h"
 
-#include <algorithm>
 #include <map>
 
 namespace acaciahold::catalog {
