Share a domain's flows by the upstreams that are left

Cause: hosts kept nine tenths of their flows in the own failure domain, however few upstreams it had left. Ruled out: suspicion (the same outliers without one), a connection cap. Change: each host assumes equal demand of all domains; a domain keeps the share that its slots can take, the rest goes to the domains with slots to spare. A tenth is spread over all slots as before, so that it is seen whether other domains answer. Test first: DomainWithFewUpstreamsSendsTheRestToOthers fails with the fixed share (921 flows on one upstream where the mean is 333).

--- a/include/acaciahold/Steering/placement.h
+++ b/include/acaciahold/Steering/placement.h
@@ -9,12 +9,17 @@
 // to the one upstream that looks idle. Hundreds of hosts may each see fewer
 // flows than there are upstreams; they still prefer upstreams of their own
 // failure domain.
+//
+// A failure domain may lose most of its upstreams while its callers stay. Its
+// hosts keep only the share of their flows that its upstreams can take; the
+// rest goes to the domains with more upstreams than their own callers need.
 
 #ifndef ACACIAHOLD_STEERING_PLACEMENT_H_
 #define ACACIAHOLD_STEERING_PLACEMENT_H_
 
 #include <cstdint>
 #include <span>
+#include <vector>
 
 #include "acaciahold/Support/time.h"
 
@@ -36,11 +41,14 @@
 void CountLoad(LoadMeter& meter, double amount, Instant now);
 double LoadAt(const LoadMeter& meter, Instant now);
 
+// Index of the host's own failure domain.
+inline constexpr uint32_t kOwnDomain = 0;
+
 // Placement state of one upstream.
 struct PlacementCandidate {
-  uint32_t slots = 1;    // Requests that it processes at once.
-  bool is_cold = false;  // Still warming up.
-  bool is_local = true;  // In the host's own failure domain.
+  uint32_t slots = 1;            // Requests that it processes at once.
+  bool is_cold = false;          // Still warming up.
+  uint32_t domain = kOwnDomain;  // Index of its failure domain.
   LoadMeter load;
   // In [0, 1), random on each host. The fraction of the candidate's interval
   // before it is first chosen, and before it is chosen after an absence.
@@ -56,6 +64,9 @@
 // candidate that was absent for a while does not get extra flows for that time.
 struct StrideScheduler {
   double virtual_time = 0;
+  // Buffer that is reused for each choice: by failure domain, the weight of one
+  // slot. The weights of all slots add up to the number of slots.
+  std::vector<double> slot_weights;
 };
 
 // Bounds the correction for uneven load: an upstream gets at most its weighted
@@ -63,15 +74,18 @@
 inline constexpr double kMaxLoadCorrection = 1.6;
 // Assumed speed of a cold upstream relative to a warm one.
 inline constexpr double kColdSpeedFactor = 0.5;
-// Weight of all upstreams in other failure domains together, relative to all
-// upstreams in the host's own domain, regardless of their number.
-inline constexpr double kRemoteWeightRatio = 0.1;
+// Fraction of the new flows that is spread over the upstreams of all failure
+// domains by their slots, even if the own domain has enough upstreams. It shows
+// whether the other domains answer.
+inline constexpr double kSpreadFraction = 0.1;
 
 // Picks the candidate with the lowest virtual time and advances it. Returns its
-// index, or -1 if there is none. `excluded` is the index of a candidate that
-// must not be picked, or -1.
+// index, or -1 if there is none. `domains` is the number of failure domains
+// with callers, above every candidate's `domain`. `excluded` is the index of a
+// candidate that must not be picked, or -1.
 int PickCandidate(StrideScheduler& scheduler,
                   std::span<PlacementCandidate* const> candidates,
+                  uint32_t domains,
                   int excluded,
                   Instant now);
 
--- a/include/acaciahold/Steering/tag_steering.h
+++ b/include/acaciahold/Steering/tag_steering.h
@@ -220,6 +220,9 @@
   Instant ticked_at;       // Time of the last OnTick call; unset before it.
   Instant stall_deadline;  // Opening packets are dropped before this time.
   std::map<std::string, StrideScheduler> schedulers;  // By service.
+  // Index of each failure domain that is or was known, from 0 on; this host's
+  // own is placement's kOwnDomain.
+  std::map<std::string, uint32_t, std::less<>> domain_indexes;
   // Invariant: one for each entry of `directory`.
   std::map<directory::UpstreamId, TagUpstream> upstreams;
   std::unordered_map<Tag, TagUpstream*> by_tag;
--- a/lib/Steering/placement.cc
+++ b/lib/Steering/placement.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace acaciahold::steering {
 namespace {
@@ -13,14 +14,14 @@
   return candidate.slots * (candidate.is_cold ? kColdSpeedFactor : 1.0);
 }
 
-// Returns the mean load per slot of the local or of the remote candidates.
+// Returns the mean load per slot of the candidates in the failure domain.
 double MeanLoadPerSlot(std::span<PlacementCandidate* const> candidates,
-                       bool is_local,
+                       uint32_t domain,
                        Instant now) {
   double load = 0;
   double slots = 0;
   for (const auto* candidate : candidates) {
-    if (candidate->is_local != is_local) {
+    if (candidate->domain != domain) {
       continue;
     }
     load += LoadAt(candidate->load, now);
@@ -29,27 +30,44 @@
   return slots > 0 ? load / slots : 0;
 }
 
-// Number of slots in the host's own failure domain and in others.
-struct Slots {
-  double local = 0;
-  double remote = 0;
-};
+// Replaces each domain's number of slots in `domains` by the weight of one of
+// its slots. Every host assumes that each domain has the same number of
+// callers. If all hosts do, then all slots get the same load.
+void WeighSlots(std::vector<double>& domains) {
+  double total = std::accumulate(domains.begin(), domains.end(), 0.0);
+  double needed = total / static_cast<double>(domains.size());
+  double spilled = std::max(0.0, 1 - domains[kOwnDomain] / needed);
+  double surplus = 0;
+  for (size_t i = kOwnDomain + 1; i < domains.size(); ++i) {
+    surplus += std::max(0.0, domains[i] - needed);
+  }
+  for (size_t i = 0; i < domains.size(); ++i) {
+    double fraction = i == kOwnDomain ? 1 - spilled : 0;
+    if (i != kOwnDomain && surplus > 0) {
+      fraction = spilled * std::max(0.0, domains[i] - needed) / surplus;
+    }
+    double slots = domains[i];
+    domains[i] = kSpreadFraction;
+    if (slots > 0) {
+      domains[i] += (1 - kSpreadFraction) * fraction * total / slots;
+    }
+  }
+}
 
-Slots CountSlots(std::span<PlacementCandidate* const> candidates) {
-  Slots slots;
+void UpdateSlotWeights(StrideScheduler& scheduler,
+                       std::span<PlacementCandidate* const> candidates,
+                       uint32_t domains) {
+  scheduler.slot_weights.assign(domains, 0);
   for (const auto* candidate : candidates) {
-    (candidate->is_local ? slots.local : slots.remote) += candidate->slots;
+    scheduler.slot_weights[candidate->domain] += EffectiveSlots(*candidate);
   }
-  return slots;
+  WeighSlots(scheduler.slot_weights);
 }
 
 // Returns the candidate's weight without regard to its load.
-double BaseWeight(const PlacementCandidate& candidate, const Slots& slots) {
-  bool is_remote_fallback = !candidate.is_local && slots.local > 0;
-  double locality_factor = is_remote_fallback
-                               ? kRemoteWeightRatio * slots.local / slots.remote
-                               : 1.0;
-  return EffectiveSlots(candidate) * locality_factor;
+double BaseWeight(const StrideScheduler& scheduler,
+                  const PlacementCandidate& candidate) {
+  return EffectiveSlots(candidate) * scheduler.slot_weights[candidate.domain];
 }
 
 // Returns the factor by which the candidate's weight is raised if its load is
@@ -83,16 +101,20 @@
 
 int PickCandidate(StrideScheduler& scheduler,
                   std::span<PlacementCandidate* const> candidates,
+                  uint32_t domains,
                   int excluded,
                   Instant now) {
-  auto slots = CountSlots(candidates);
+  if (candidates.empty()) {
+    return -1;
+  }
+  UpdateSlotWeights(scheduler, candidates, domains);
   int best = -1;
   for (int i = 0; i < static_cast<int>(candidates.size()); ++i) {
     auto& candidate = *candidates[i];
     if (candidate.virtual_time < scheduler.virtual_time) {
       candidate.virtual_time =
           scheduler.virtual_time +
-          candidate.start_fraction / BaseWeight(candidate, slots);
+          candidate.start_fraction / BaseWeight(scheduler, candidate);
     }
     bool is_earlier =
         best < 0 || candidate.virtual_time < candidates[best]->virtual_time;
@@ -104,9 +126,9 @@
     auto& candidate = *candidates[best];
     scheduler.virtual_time = candidate.virtual_time;
     double mean_load_per_slot =
-        MeanLoadPerSlot(candidates, candidate.is_local, now);
+        MeanLoadPerSlot(candidates, candidate.domain, now);
     candidate.virtual_time +=
-        1 / (BaseWeight(candidate, slots) *
+        1 / (BaseWeight(scheduler, candidate) *
              LoadCorrection(candidate, mean_load_per_slot, now));
     CountLoad(candidate.load, 1, now);
   }
--- a/lib/Steering/tag_feeds.cc
+++ b/lib/Steering/tag_feeds.cc
@@ -63,8 +63,10 @@
   }
   upstream.endpoint = record.endpoint;
   upstream.candidate.slots = std::max(1U, record.slots);
-  upstream.candidate.is_local =
-      record.failure_domain == steering.failure_domain;
+  auto next_index = static_cast<uint32_t>(steering.domain_indexes.size());
+  upstream.candidate.domain =
+      steering.domain_indexes.try_emplace(record.failure_domain, next_index)
+          .first->second;
   return upstream;
 }
 
--- a/lib/Steering/tag_steering.cc
+++ b/lib/Steering/tag_steering.cc
@@ -46,7 +46,8 @@
   bool is_avoided =
       now < upstream.reachability.avoid_deadline ||
       (domain != steering.domains.end() && now < domain->second.avoid_deadline);
-  bool is_out_of_reach = steering.is_cut_off && !upstream.candidate.is_local;
+  bool is_out_of_reach =
+      steering.is_cut_off && upstream.candidate.domain != kOwnDomain;
   bool is_fallback = is_avoided || is_out_of_reach ||
                      now < upstream.suspect_deadline ||
                      IsSilent(steering, upstream);
@@ -236,8 +237,9 @@
       excluded = static_cast<int>(i);
     }
   }
-  int chosen = PickCandidate(steering.schedulers[service],
-                             steering.scratch_candidates, excluded, now);
+  int chosen = PickCandidate(
+      steering.schedulers[service], steering.scratch_candidates,
+      static_cast<uint32_t>(steering.domain_indexes.size()), excluded, now);
   if (chosen < 0) {
     return {TagVerdict::kReset, TagReason::kNoUpstream, 0, {}, 0};
   }
@@ -260,6 +262,7 @@
 
 TagSteering MakeTagSteering(std::string failure_domain, uint64_t seed) {
   TagSteering steering;
+  steering.domain_indexes.emplace(failure_domain, kOwnDomain);
   steering.failure_domain = std::move(failure_domain);
   steering.random.seed(seed);
   steering.recent_openings.resize(kRecentOpeningSlots);
@@ -444,7 +447,7 @@
     total += requests;
     bool takes_flows = EligibilityOf(steering, upstream, entry.record, now) ==
                        Eligibility::kPreferred;
-    if (upstream.candidate.is_local && takes_flows) {
+    if (upstream.candidate.domain == kOwnDomain && takes_flows) {
       local.insert(entry.record.service);
     }
   }
--- a/unittests/Steering/placement_test.cc
+++ b/unittests/Steering/placement_test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <numeric>
 #include <random>
 #include <vector>
 
@@ -15,6 +16,8 @@
 using std::chrono::milliseconds;
 
 const Instant kStart = FromUnixMillis(1'000'000);
+// Number of failure domains in tests with upstreams of the own domain only.
+constexpr uint32_t kDomains = 1;
 
 std::vector<PlacementCandidate*> PointersTo(
     std::vector<PlacementCandidate>& candidates) {
@@ -37,7 +40,7 @@
 
 BOOST_AUTO_TEST_CASE(ReturnsNoIndexWithoutCandidates) {
   StrideScheduler scheduler;
-  BOOST_TEST(PickCandidate(scheduler, {}, -1, kStart) == -1);
+  BOOST_TEST(PickCandidate(scheduler, {}, kDomains, -1, kStart) == -1);
 }
 
 BOOST_AUTO_TEST_CASE(DistributesAConstantRateEvenly) {
@@ -47,7 +50,7 @@
   std::array<int, 5> counts{};
   Instant now = kStart;
   for (int i = 0; i < 1'000; ++i) {
-    ++counts[PickCandidate(scheduler, pointers, -1, now)];
+    ++counts[PickCandidate(scheduler, pointers, kDomains, -1, now)];
     now += milliseconds(10);
   }
   auto [least, most] = std::minmax_element(counts.begin(), counts.end());
@@ -61,7 +64,7 @@
   auto pointers = PointersTo(candidates);
   std::array<int, 2> counts{};
   for (int i = 0; i < 800; ++i) {
-    ++counts[PickCandidate(scheduler, pointers, -1,
+    ++counts[PickCandidate(scheduler, pointers, kDomains, -1,
                            kStart + milliseconds(10 * i))];
   }
   BOOST_TEST(counts[1] > 560);
@@ -73,7 +76,7 @@
   auto candidates = MakeCandidates(2);
   auto pointers = PointersTo(candidates);
   for (int i = 0; i < 10; ++i) {
-    BOOST_TEST(PickCandidate(scheduler, pointers, 0, kStart) == 1);
+    BOOST_TEST(PickCandidate(scheduler, pointers, kDomains, 0, kStart) == 1);
   }
 }
 
@@ -90,14 +93,14 @@
   InitVirtualTime(candidates[0], 0.5);
   int to_cold = 0;
   for (int i = 0; i < 500; ++i) {
-    to_cold += PickCandidate(scheduler, pointers, -1,
+    to_cold += PickCandidate(scheduler, pointers, kDomains, -1,
                              kStart + milliseconds(2 * i)) == 0;
   }
   BOOST_TEST(to_cold <= 100);  // An even share.
   candidates[0].is_cold = false;
   int to_warm = 0;
   for (int i = 0; i < 500; ++i) {
-    to_warm += PickCandidate(scheduler, pointers, -1,
+    to_warm += PickCandidate(scheduler, pointers, kDomains, -1,
                              kStart + milliseconds(1'000 + 2 * i)) == 0;
   }
   BOOST_TEST(to_warm > 110);  // More than an even share, to balance the load.
@@ -118,7 +121,7 @@
       InitVirtualTime(candidate, jitter(random));
     }
     for (int i = 0; i < 33; ++i) {
-      ++counts[PickCandidate(scheduler, pointers, -1,
+      ++counts[PickCandidate(scheduler, pointers, kDomains, -1,
                              kStart + milliseconds(i))];
     }
   }
@@ -136,12 +139,12 @@
   std::span<PlacementCandidate* const> others(pointers.data() + 1, 3);
   Instant now = kStart;
   for (int i = 0; i < 300; ++i) {
-    PickCandidate(scheduler, others, -1, now);
+    PickCandidate(scheduler, others, kDomains, -1, now);
     now += milliseconds(5);
   }
   int to_returned = 0;
   for (int i = 0; i < 20; ++i) {
-    to_returned += PickCandidate(scheduler, pointers, -1, now) == 0;
+    to_returned += PickCandidate(scheduler, pointers, kDomains, -1, now) == 0;
   }
   BOOST_TEST(to_returned <= 9);
   BOOST_TEST(to_returned >= 5);
@@ -150,12 +153,12 @@
 BOOST_AUTO_TEST_CASE(PrefersTheLocalFailureDomain) {
   StrideScheduler scheduler;
   auto candidates = MakeCandidates(4);
-  candidates[2].is_local = false;
-  candidates[3].is_local = false;
+  candidates[2].domain = 1;
+  candidates[3].domain = 1;
   auto pointers = PointersTo(candidates);
   int remote = 0;
   for (int i = 0; i < 500; ++i) {
-    remote += PickCandidate(scheduler, pointers, -1,
+    remote += PickCandidate(scheduler, pointers, 2, -1,
                             kStart + milliseconds(10 * i)) >= 2;
   }
   BOOST_TEST(remote < 75);
@@ -164,14 +167,14 @@
 namespace {
 
 // Returns the candidates of one host: `local` in its own failure domain and
-// `remote` in others.
+// `remote` in others, `local` in each.
 std::vector<PlacementCandidate> MakeDomains(size_t local,
                                             size_t remote,
                                             std::mt19937_64& random) {
   std::uniform_real_distribution<double> jitter(0, 1);
   auto candidates = MakeCandidates(local + remote);
   for (size_t i = 0; i < candidates.size(); ++i) {
-    candidates[i].is_local = i < local;
+    candidates[i].domain = static_cast<uint32_t>(i / local);
     InitVirtualTime(candidates[i], jitter(random));
   }
   return candidates;
@@ -190,25 +193,76 @@
     auto candidates = MakeDomains(80, 400, random);
     auto pointers = PointersTo(candidates);
     for (int i = 0; i < 100; ++i) {
-      remote += PickCandidate(scheduler, pointers, -1,
+      remote += PickCandidate(scheduler, pointers, 6, -1,
                               kStart + milliseconds(200 * i)) >= 80;
     }
   }
-  BOOST_TEST(remote <= 20 * 100 * 2 * kRemoteWeightRatio);
+  BOOST_TEST(remote <= 20 * 100 * 2 * kSpreadFraction);
 }
 
 BOOST_AUTO_TEST_CASE(RemoteShareIsIndependentOfTheNumberOfDomains) {
   std::mt19937_64 random(7);
-  for (size_t domains : {1U, 3U, 5U, 9U}) {
+  for (uint32_t domains : {1U, 3U, 5U, 9U}) {
     StrideScheduler scheduler;
     auto candidates = MakeDomains(10, 10 * domains, random);
     auto pointers = PointersTo(candidates);
     int remote = 0;
     for (int i = 0; i < 1'000; ++i) {
-      remote += PickCandidate(scheduler, pointers, -1,
+      remote += PickCandidate(scheduler, pointers, domains + 1, -1,
                               kStart + milliseconds(10 * i)) >= 10;
     }
-    BOOST_TEST(remote <= 1'000 * 1.5 * kRemoteWeightRatio);
+    BOOST_TEST(remote <= 1'000 * 1.5 * kSpreadFraction);
+  }
+}
+
+namespace {
+
+// Places flows by one host of each failure domain, at the same rate in each;
+// `upstreams` holds the number of upstreams by domain. Returns the number of
+// flows by upstream, in the order of the domains.
+std::vector<int> PlaceFromAllDomains(std::span<const size_t> upstreams,
+                                     int flows) {
+  std::mt19937_64 random(9);
+  std::uniform_real_distribution<double> jitter(0, 1);
+  std::vector<int> counts(
+      std::accumulate(upstreams.begin(), upstreams.end(), size_t{0}));
+  auto domains = static_cast<uint32_t>(upstreams.size());
+  for (uint32_t own = 0; own < domains; ++own) {
+    StrideScheduler scheduler;
+    std::vector<PlacementCandidate> candidates;
+    for (uint32_t domain = 0; domain < domains; ++domain) {
+      for (size_t i = 0; i < upstreams[domain]; ++i) {
+        auto& candidate = candidates.emplace_back();
+        candidate.slots = 2;
+        candidate.domain = (domain + domains - own) % domains;
+        InitVirtualTime(candidate, jitter(random));
+      }
+    }
+    auto pointers = PointersTo(candidates);
+    for (int i = 0; i < flows; ++i) {
+      ++counts[PickCandidate(scheduler, pointers, domains, -1,
+                             kStart + milliseconds(10 * i))];
+    }
+  }
+  return counts;
+}
+
+}  // namespace
+
+// A failure domain has lost most of its upstreams, others have all of theirs.
+// Guards against sending the flows of its callers to the upstreams that are
+// left there until these are full, while those of other domains have free
+// slots.
+BOOST_AUTO_TEST_CASE(DomainWithFewUpstreamsSendsTheRestToOthers) {
+  for (std::array<size_t, 4> upstreams :
+       {std::array<size_t, 4>{4, 4, 1, 3}, std::array<size_t, 4>{1, 1, 4, 4},
+        std::array<size_t, 4>{0, 4, 2, 2}}) {
+    constexpr int kFlows = 1'000;
+    auto counts = PlaceFromAllDomains(upstreams, kFlows);
+    double mean = 4.0 * kFlows / static_cast<double>(counts.size());
+    auto [least, most] = std::minmax_element(counts.begin(), counts.end());
+    BOOST_TEST(*most <= 1.15 * mean);
+    BOOST_TEST(*least >= 0.85 * mean);
   }
 }
 
@@ -225,11 +279,12 @@
     auto pointers = PointersTo(candidates);
     std::span<PlacementCandidate* const> others(pointers.data() + 1,
                                                 kUpstreams - 1);
-    PickCandidate(scheduler, pointers, 0, kStart);
+    PickCandidate(scheduler, pointers, kDomains, 0, kStart);
     for (int i = 0; i < 40; ++i) {
-      PickCandidate(scheduler, others, -1, kStart + milliseconds(100 * i));
+      PickCandidate(scheduler, others, kDomains, -1,
+                    kStart + milliseconds(100 * i));
     }
-    to_returned += PickCandidate(scheduler, pointers, -1,
+    to_returned += PickCandidate(scheduler, pointers, kDomains, -1,
                                  kStart + milliseconds(4'000)) == 0;
   }
   BOOST_TEST(to_returned <= 4 * kHosts / kUpstreams);
