Refuse openings at once in a lasting overload

Cause: with more requests than the upstreams can do, all queues stay full. Change: request_tracker.h follows the last request of recent flows (in flight, answered, failed) in place of the slots for recent data; overload.h keeps a service's response time beside that of idle upstreams. If it is 2.2 times as long for 0.5 s, an opening is refused that would be answered later than 3.5 times the idle time by the present rate of answers; three requests a slot of the host's share never are. Only first openings are refused: of a retransmission the flow may be open. The refusal is a reset before the flow opens: not run.

--- /dev/null
+++ b/include/acaciahold/Steering/request_tracker.h
@@ -0,0 +1,87 @@
+// Follows the last request of recent flows from the packets that callers send:
+// when it was sent, whether it was answered, retransmitted or given up.
+// Performs no I/O. Answers don't pass through the entry host; it sees only that
+// the caller's acknowledgement number increases.
+//
+// The memory is constant: a flow's hash selects its slot, and a newer flow
+// replaces an older one there.
+
+#ifndef ACACIAHOLD_STEERING_REQUEST_TRACKER_H_
+#define ACACIAHOLD_STEERING_REQUEST_TRACKER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "acaciahold/Steering/overload.h"
+#include "acaciahold/Support/time.h"
+
+namespace acaciahold::steering {
+
+// Header fields of a later packet that show whether the flow's upstream
+// answers.
+struct Progress {
+  uint32_t sequence = 0;
+  uint32_t acknowledged = 0;  // The caller's acknowledgement number.
+  bool has_data = false;
+  bool is_closing = false;  // The caller's last packet of the flow.
+};
+
+// The last request of a flow.
+struct TrackedRequest {
+  uint64_t flow_hash = 0;
+  // The caller has sent data, with these numbers.
+  bool has_data = false;
+  uint32_t sequence = 0;
+  uint32_t acknowledged = 0;
+  bool is_answered = false;
+  bool is_failed = false;  // Already reported as a failure.
+  // Load of the upstream's service; null if the upstream was unknown.
+  ServiceLoad* load = nullptr;
+  bool is_in_flight = false;  // `load` counts the request.
+  Instant sent_at;            // Of the first packet.
+};
+
+// Number of slots.
+inline constexpr size_t kTrackedRequests = 2'048;
+struct RequestTracker {
+  // Invariant: size kTrackedRequests. Each `load` outlives the tracker.
+  std::vector<TrackedRequest> requests =
+      std::vector<TrackedRequest>(kTrackedRequests);
+  size_t next_checked = 0;  // The slot that RemoveOverdue checks next.
+};
+
+// What a packet shows about the flow's last request.
+struct RequestProgress {
+  // The upstream has begun to answer: set once for each request.
+  bool is_answered = false;
+  // Data was retransmitted: the caller received no acknowledgement in time,
+  // because a packet was lost or the upstream is slow or dead.
+  bool is_repeated = false;
+  bool is_given_up = false;  // The caller closes the flow without an answer.
+  // Whether to count a failure: set once for each request.
+  bool is_failure = false;
+};
+
+// A new flow was given to an upstream of the service. Its first request follows
+// when the flow is open, but takes up a place from now on.
+void OnFlowPlaced(RequestTracker& tracker,
+                  uint64_t flow_hash,
+                  ServiceLoad& load,
+                  Instant now);
+
+// Handles a later packet of a flow. `load` is that of the service of the flow's
+// upstream; null if the upstream is unknown.
+RequestProgress OnCallerPacket(RequestTracker& tracker,
+                               uint64_t flow_hash,
+                               ServiceLoad* load,
+                               const Progress& progress,
+                               Instant now);
+
+// Removes requests from the count in flight whose time is over; see
+// InFlightTime. Checks a part of the slots; call periodically.
+void RemoveOverdue(RequestTracker& tracker, Instant now);
+
+}  // namespace acaciahold::steering
+
+#endif  // ACACIAHOLD_STEERING_REQUEST_TRACKER_H_
--- a/include/acaciahold/Steering/tag_steering.h
+++ b/include/acaciahold/Steering/tag_steering.h
@@ -27,7 +27,9 @@
 #include "acaciahold/Catalog/catalog.h"
 #include "acaciahold/Directory/directory.h"
 #include "acaciahold/Directory/failure_detector.h"
+#include "acaciahold/Steering/overload.h"
 #include "acaciahold/Steering/placement.h"
+#include "acaciahold/Steering/request_tracker.h"
 #include "acaciahold/Support/address.h"
 #include "acaciahold/Support/time.h"
 
@@ -68,9 +70,10 @@
   kNoUpstream,      // No upstream of the service may take the flow.
   kUnknownTag,      // The upstream's record may not have been received yet.
   kStalled,         // This process was stalled and has not caught up yet.
+  kOverloaded,      // The upstreams could not answer in time; see overload.h.
 };
 inline constexpr size_t kTagReasons =
-    static_cast<size_t>(TagReason::kStalled) + 1;
+    static_cast<size_t>(TagReason::kOverloaded) + 1;
 
 struct TagDecision {
   TagVerdict verdict = TagVerdict::kDrop;
@@ -149,7 +152,7 @@
   Endpoint endpoint;  // Invariant: equals the endpoint in the directory.
   // Invariant: points to the upstream's entry in TagSteering::directory.
   const directory::Entry* entry = nullptr;
-  // The service under which by_service lists the upstream.
+  // The service that lists the upstream in TagSteering::services.
   std::string service;
   PlacementCandidate candidate;
   Reachability reachability;
@@ -168,14 +171,6 @@
 // numbered from 0 to 31.
 using FeedMask = uint32_t;
 
-// The last data that a caller sent on a flow.
-struct RecentData {
-  uint64_t flow_hash = 0;
-  uint32_t sequence = 0;
-  uint32_t acknowledged = 0;   // The caller's acknowledgement number.
-  bool is_unanswered = false;  // Already counted as a failure.
-};
-
 // An opening packet that was forwarded to an upstream.
 struct RecentOpening {
   uint64_t flow_hash = 0;
@@ -186,12 +181,18 @@
   bool is_resolved = false;
 };
 
-// Number of slots for the last data of recent flows. A flow's hash selects its
-// slot; a newer flow replaces an older one in the same slot.
-inline constexpr size_t kRecentDataSlots = 2'048;
-// Number of slots for recent openings, selected and replaced in the same way.
+// Number of slots for recent openings. A flow's hash selects its slot; a newer
+// flow replaces an older one in the same slot.
 inline constexpr size_t kRecentOpeningSlots = 2'048;
 
+struct TagService {
+  // Its upstreams, so that placing a flow does not scan those of other
+  // services.
+  std::vector<TagUpstream*> upstreams;
+  StrideScheduler scheduler;
+  ServiceLoad load;
+};
+
 // The state of an entry host that steers flows by tag.
 struct TagSteering {
   std::string failure_domain;  // Of this host.
@@ -219,16 +220,16 @@
   TagCounters counts;
   Instant ticked_at;       // Time of the last OnTick call; unset before it.
   Instant stall_deadline;  // Opening packets are dropped before this time.
-  std::map<std::string, StrideScheduler> schedulers;  // By service.
   // Index of each failure domain that is or was known, from 0 on; this host's
   // own is placement's kOwnDomain.
   std::map<std::string, uint32_t, std::less<>> domain_indexes;
   // Invariant: one for each entry of `directory`.
   std::map<directory::UpstreamId, TagUpstream> upstreams;
   std::unordered_map<Tag, TagUpstream*> by_tag;
-  // The upstreams of each service, so that placing a flow does not scan the
-  // upstreams of other services.
-  std::map<std::string, std::vector<TagUpstream*>, std::less<>> by_service;
+  // Services that have or had upstreams. Elements are never removed, since
+  // `requests` refers to their loads.
+  std::map<std::string, TagService, std::less<>> services;
+  RequestTracker requests;
   // The upstream that started last at each packed endpoint. Only this one
   // receives new flows there.
   std::unordered_map<uint64_t, directory::UpstreamId> latest_by_endpoint;
@@ -238,8 +239,6 @@
   std::vector<RecentOpening> recent_openings;
   // Slots of forwarded openings to check for an answer, oldest first.
   std::deque<uint32_t> pending_slots;
-  // Invariant: size kRecentDataSlots.
-  std::vector<RecentData> recent_data;
   // Upstreams with failures since the last call of TakeFailures.
   std::vector<directory::UpstreamId> failed_upstreams;
   // Buffers that are reused for each new flow; entries correspond by index.
@@ -289,15 +288,6 @@
                       const Opening& opening,
                       Instant now);
 
-// Header fields of a later packet that show whether the flow's upstream
-// answers.
-struct Progress {
-  uint32_t sequence = 0;
-  uint32_t acknowledged = 0;  // The caller's acknowledgement number.
-  bool has_data = false;
-  bool is_closing = false;  // The caller's last packet of the flow.
-};
-
 // Updates the failure counts from a later packet; must be called before
 // OnTagged. Returns whether the packet is retransmitted data: the caller
 // received no acknowledgement in time, because a packet was lost or the
@@ -306,7 +296,8 @@
 bool OnProgress(TagSteering& steering,
                 const TaggedFlow& flow,
                 Tag tag,
-                const Progress& progress);
+                const Progress& progress,
+                Instant now);
 
 // Returns the number of failures by upstream since the last call: unanswered
 // openings, and requests that were retransmitted or given up.
--- /dev/null
+++ b/lib/Steering/request_tracker.cc
@@ -0,0 +1,117 @@
+// Compares each packet with the last request of its flow.
+
+#include "acaciahold/Steering/request_tracker.h"
+
+#include <utility>
+
+namespace acaciahold::steering {
+namespace {
+
+// Slots that one call of RemoveOverdue checks.
+constexpr size_t kSlotsPerCheck = kTrackedRequests / 4;
+
+TrackedRequest& SlotOf(RequestTracker& tracker, uint64_t flow_hash) {
+  return tracker.requests[flow_hash % kTrackedRequests];
+}
+
+void EndInFlight(TrackedRequest& request) {
+  if (std::exchange(request.is_in_flight, false)) {
+    RemoveInFlight(*request.load);
+  }
+}
+
+void Begin(TrackedRequest& request, ServiceLoad& load, Instant now) {
+  AddInFlight(load);
+  request.load = &load;
+  request.is_in_flight = true;
+  request.sent_at = now;
+}
+
+// Gives the slot to another flow.
+void Replace(TrackedRequest& request, uint64_t flow_hash) {
+  EndInFlight(request);
+  request = {};
+  request.flow_hash = flow_hash;
+}
+
+// Handles data that is no retransmission: a new request, or more of one.
+void OnNewData(TrackedRequest& request,
+               ServiceLoad* load,
+               const Progress& progress,
+               Instant now) {
+  bool is_new_request = !request.load || request.is_answered;
+  request.is_answered = false;
+  request.has_data = true;
+  request.sequence = progress.sequence;
+  request.acknowledged = progress.acknowledged;
+  request.is_failed = false;
+  if (is_new_request && load) {
+    Begin(request, *load, now);
+  }
+}
+
+void OnFirstAnswer(TrackedRequest& request, Instant now) {
+  request.is_answered = true;
+  EndInFlight(request);
+  if (request.load) {
+    OnAnswer(*request.load, now - request.sent_at, now);
+  }
+}
+
+}  // namespace
+
+void OnFlowPlaced(RequestTracker& tracker,
+                  uint64_t flow_hash,
+                  ServiceLoad& load,
+                  Instant now) {
+  auto& request = SlotOf(tracker, flow_hash);
+  Replace(request, flow_hash);
+  Begin(request, load, now);
+}
+
+RequestProgress OnCallerPacket(RequestTracker& tracker,
+                               uint64_t flow_hash,
+                               ServiceLoad* load,
+                               const Progress& progress,
+                               Instant now) {
+  RequestProgress result;
+  auto& request = SlotOf(tracker, flow_hash);
+  if (request.flow_hash != flow_hash) {
+    if (progress.has_data) {
+      Replace(request, flow_hash);
+      OnNewData(request, load, progress, now);
+    }
+    return result;
+  }
+  result.is_answered = request.has_data && !request.is_answered &&
+                       request.acknowledged != progress.acknowledged;
+  if (result.is_answered) {
+    OnFirstAnswer(request, now);
+  }
+  result.is_repeated = progress.has_data && request.has_data &&
+                       request.sequence == progress.sequence;
+  result.is_given_up = !progress.has_data && progress.is_closing &&
+                       request.has_data && !request.is_answered;
+  if (result.is_repeated || result.is_given_up) {
+    result.is_failure = !std::exchange(request.is_failed, true);
+  } else if (progress.has_data) {
+    OnNewData(request, load, progress, now);
+  }
+  if (progress.is_closing) {
+    EndInFlight(request);
+  }
+  return result;
+}
+
+void RemoveOverdue(RequestTracker& tracker, Instant now) {
+  for (size_t i = 0; i < kSlotsPerCheck; ++i) {
+    auto& request = tracker.requests[tracker.next_checked];
+    tracker.next_checked = (tracker.next_checked + 1) % kTrackedRequests;
+    if (request.is_in_flight &&
+        now >= request.sent_at + InFlightTime(*request.load)) {
+      EndInFlight(request);
+    }
+  }
+}
+
+}  // namespace acaciahold::steering
--- a/lib/Steering/tag_feeds.cc
+++ b/lib/Steering/tag_feeds.cc
@@ -31,13 +31,9 @@
 
 // Removes the upstream from the list of its service.
 void RemoveFromService(TagSteering& steering, TagUpstream& upstream) {
-  auto it = steering.by_service.find(upstream.service);
-  if (it == steering.by_service.end()) {
-    return;
-  }
-  std::erase(it->second, &upstream);
-  if (it->second.empty()) {
-    steering.by_service.erase(it);
+  auto it = steering.services.find(upstream.service);
+  if (it != steering.services.end()) {
+    std::erase(it->second.upstreams, &upstream);
   }
 }
 
@@ -59,7 +55,7 @@
   if (is_new || upstream.service != record.service) {
     RemoveFromService(steering, upstream);
     upstream.service = record.service;
-    steering.by_service[record.service].push_back(&upstream);
+    steering.services[record.service].upstreams.push_back(&upstream);
   }
   upstream.endpoint = record.endpoint;
   upstream.candidate.slots = std::max(1U, record.slots);
--- a/lib/Steering/tag_steering.cc
+++ b/lib/Steering/tag_steering.cc
@@ -77,19 +77,19 @@
 // Fills the scratch lists with the service's upstreams that may take a new flow
 // now and that share the best eligibility.
 void CollectCandidates(TagSteering& steering,
-                       std::string_view service,
+                       std::string_view service_name,
                        Instant now) {
   auto& candidates = steering.scratch_candidates;
   auto& upstreams = steering.scratch_upstreams;
   candidates.clear();
   upstreams.clear();
-  auto service_upstreams = steering.by_service.find(service);
-  if (service_upstreams == steering.by_service.end()) {
+  auto service = steering.services.find(service_name);
+  if (service == steering.services.end()) {
     return;
   }
   auto best = Eligibility::kFallback;
-  double cold_limit = ColdLimit(steering, service);
-  for (auto* upstream : service_upstreams->second) {
+  double cold_limit = ColdLimit(steering, service_name);
+  for (auto* upstream : service->second.upstreams) {
     const auto& entry = *upstream->entry;
     auto eligibility = EligibilityOf(steering, *upstream, entry.record, now);
     if (eligibility > best || IsSuperseded(steering, entry.record)) {
@@ -212,25 +212,49 @@
   return it == steering.by_tag.end() ? nullptr : it->second;
 }
 
+ServiceLoad& LoadOf(TagSteering& steering, const TagUpstream& upstream) {
+  return steering.services.find(upstream.service)->second.load;
+}
+
 void RecordOpening(TagSteering& steering,
                    const Opening& opening,
                    uint64_t flow_hash,
-                   Tag tag,
+                   const TagDecision& decision,
                    Instant now) {
   uint32_t slot = SlotOf(flow_hash);
-  steering.recent_openings[slot] = {flow_hash, opening.sequence, tag, now,
-                                    false};
+  steering.recent_openings[slot] = {flow_hash, opening.sequence, decision.tag,
+                                    now, false};
   steering.pending_slots.push_back(slot);
+  const auto& upstream = steering.upstreams.at(decision.upstream);
+  OnFlowPlaced(steering.requests, flow_hash, LoadOf(steering, upstream), now);
+}
+
+// This host's share of the slots of the candidates.
+double HostSlots(const TagSteering& steering) {
+  double slots = 0;
+  for (const auto* candidate : steering.scratch_candidates) {
+    slots += candidate->slots;
+  }
+  return slots / std::max(1U, steering.entry_hosts);
 }
 
 // Chooses an upstream for a new flow, other than the one with the tag
-// `excluded_tag` unless there is no other.
+// `excluded_tag` unless there is no other. Refuses the flow in an overload if
+// `may_refuse` is set.
 TagDecision PlaceFlow(TagSteering& steering,
-                      const std::string& service,
+                      const std::string& service_name,
                       Tag excluded_tag,
+                      bool may_refuse,
                       Instant now) {
-  CollectCandidates(steering, service, now);
+  CollectCandidates(steering, service_name, now);
   const auto& upstreams = steering.scratch_upstreams;
+  if (upstreams.empty()) {
+    return {TagVerdict::kReset, TagReason::kNoUpstream, 0, {}, 0};
+  }
+  auto& service = steering.services.find(service_name)->second;
+  if (may_refuse && IsOverloaded(service.load, HostSlots(steering), now)) {
+    return {TagVerdict::kReset, TagReason::kOverloaded, 0, {}, 0};
+  }
   int excluded = -1;
   for (size_t i = 0; i < upstreams.size(); ++i) {
     if (upstreams[i]->tag == excluded_tag && upstreams.size() > 1) {
@@ -238,11 +262,9 @@
     }
   }
   int chosen = PickCandidate(
-      steering.schedulers[service], steering.scratch_candidates,
+      service.scheduler, steering.scratch_candidates,
       static_cast<uint32_t>(steering.domain_indexes.size()), excluded, now);
-  if (chosen < 0) {
-    return {TagVerdict::kReset, TagReason::kNoUpstream, 0, {}, 0};
-  }
+  AssertInvariant(chosen >= 0, "a candidate that is not excluded is chosen");
   auto& upstream = *upstreams[chosen];
   if (upstream.candidate.is_cold) {
     upstream.cold_limiter.tokens -= 1;
@@ -266,7 +288,6 @@
   steering.failure_domain = std::move(failure_domain);
   steering.random.seed(seed);
   steering.recent_openings.resize(kRecentOpeningSlots);
-  steering.recent_data.resize(kRecentDataSlots);
   return steering;
 }
 
@@ -316,10 +337,14 @@
   if (first_upstream) {
     OnUnanswered(steering, *first_upstream, now);
   }
-  auto decision = PlaceFlow(steering, ServiceOf(*it->second, hash),
-                            first_upstream ? first_upstream->tag : 0, now);
+  // A retransmission is not refused: another host may have forwarded the first
+  // packet, so that the flow may be open.
+  bool may_refuse = !first_upstream && opening.copy == 0;
+  auto decision =
+      PlaceFlow(steering, ServiceOf(*it->second, hash),
+                first_upstream ? first_upstream->tag : 0, may_refuse, now);
   if (decision.verdict == TagVerdict::kForward) {
-    RecordOpening(steering, opening, hash, decision.tag, now);
+    RecordOpening(steering, opening, hash, decision, now);
   }
   if (first_upstream && decision.verdict == TagVerdict::kForward) {
     decision.reason = TagReason::kReplaced;
@@ -366,43 +391,21 @@
   return decision;
 }
 
-namespace {
-
-// Counts a request as failed once, however often it is retransmitted.
-void CountFailedRequest(TagSteering& steering, RecentData& recent, Tag tag) {
-  auto* upstream = recent.is_unanswered ? nullptr : FindTag(steering, tag);
-  recent.is_unanswered = true;
-  if (upstream) {
-    CountFailure(steering, *upstream);
-  }
-}
-
-}  // namespace
-
 bool OnProgress(TagSteering& steering,
                 const TaggedFlow& flow,
                 Tag tag,
-                const Progress& progress) {
-  uint64_t flow_hash = HashFlow(flow);
-  auto& recent = steering.recent_data[flow_hash % kRecentDataSlots];
-  bool is_known = recent.flow_hash == flow_hash;
-  if (progress.has_data) {
-    bool is_repeated = is_known && recent.sequence == progress.sequence;
-    if (is_repeated) {
-      ++steering.counts.repeated;
-      CountFailedRequest(steering, recent, tag);
-    } else {
-      recent = {flow_hash, progress.sequence, progress.acknowledged, false};
-    }
-    return is_repeated;
-  }
-  bool is_given_up = progress.is_closing && is_known &&
-                     recent.acknowledged == progress.acknowledged;
-  if (is_given_up) {
-    ++steering.counts.given_up;
-    CountFailedRequest(steering, recent, tag);
+                const Progress& progress,
+                Instant now) {
+  auto* upstream = FindTag(steering, tag);
+  auto* load = upstream ? &LoadOf(steering, *upstream) : nullptr;
+  auto result =
+      OnCallerPacket(steering.requests, HashFlow(flow), load, progress, now);
+  steering.counts.repeated += result.is_repeated ? 1 : 0;
+  steering.counts.given_up += result.is_given_up ? 1 : 0;
+  if (upstream && result.is_failure) {
+    CountFailure(steering, *upstream);
   }
-  return false;
+  return result.is_repeated;
 }
 
 std::vector<directory::UpstreamFailures> TakeFailures(TagSteering& steering) {
@@ -463,6 +466,7 @@
     steering.stall_deadline = now + kStallRecoveryTime;
   }
   steering.ticked_at = now;
+  RemoveOverdue(steering.requests, now);
   while (!steering.pending_slots.empty()) {
     auto& recent = steering.recent_openings[steering.pending_slots.front()];
     if (!recent.is_resolved && now < recent.placed_at + kOpenTimeout) {
@@ -497,6 +501,8 @@
       return "unknown_tag";
     case TagReason::kStalled:
       return "stalled";
+    case TagReason::kOverloaded:
+      return "overloaded";
   }
   return "unknown_tag";
 }
--- /dev/null
+++ b/unittests/Steering/request_tracker_test.cc
@@ -0,0 +1,108 @@
+// Tests which requests count as in flight, answered or failed.
+
+#include "acaciahold/Steering/request_tracker.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace acaciahold::steering {
+namespace {
+
+using std::chrono::milliseconds;
+
+const Instant kStart = FromUnixMillis(1'000'000);
+constexpr uint64_t kFlow = 77;
+constexpr Progress kRequest{100, 50, true, false};
+constexpr Progress kAcknowledgement{120, 90, false, false};
+constexpr Progress kClosing{120, 90, false, true};
+
+// The tracker refers to the load, which must outlive it.
+struct Fixture {
+  ServiceLoad load;
+  RequestTracker tracker;
+
+  RequestProgress Send(const Progress& progress, int at_ms) {
+    return OnCallerPacket(tracker, kFlow, &load, progress,
+                          kStart + milliseconds(at_ms));
+  }
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(ARequestIsInFlightFromTheOpeningToTheAnswer) {
+  Fixture it;
+  OnFlowPlaced(it.tracker, kFlow, it.load, kStart);
+  BOOST_TEST(it.load.in_flight == 1U);
+  BOOST_TEST(!it.Send({100, 50, false, false}, 3).is_answered);
+  BOOST_TEST(!it.Send(kRequest, 3).is_answered);
+  BOOST_TEST(it.load.in_flight == 1U);
+  BOOST_TEST(it.Send(kAcknowledgement, 40).is_answered);
+  BOOST_TEST(it.load.in_flight == 0U);
+  BOOST_TEST(it.load.response_seconds == 0.04,
+             boost::test_tools::tolerance(0.001));
+  // The rest of the answer is not another one.
+  BOOST_TEST(!it.Send({120, 130, false, false}, 41).is_answered);
+}
+
+BOOST_AUTO_TEST_CASE(ALongFlowCarriesOneRequestAfterAnother) {
+  Fixture it;
+  it.Send(kRequest, 0);
+  it.Send(kAcknowledgement, 30);
+  BOOST_TEST(it.load.in_flight == 0U);
+  it.Send({120, 90, true, false}, 1'000);
+  BOOST_TEST(it.load.in_flight == 1U);
+  // The next request acknowledges the answer to the last one.
+  BOOST_TEST(it.Send({140, 130, true, false}, 1'030).is_answered);
+  BOOST_TEST(it.load.in_flight == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(DataOfOneRequestIsCountedOnce) {
+  Fixture it;
+  it.Send({100, 50, true, false}, 0);
+  it.Send({1'300, 50, true, false}, 1);
+  BOOST_TEST(it.load.in_flight == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ARepeatedOrAbandonedRequestFailsOnce) {
+  Fixture it;
+  it.Send(kRequest, 0);
+  auto repeated = it.Send(kRequest, 200);
+  BOOST_TEST(repeated.is_repeated);
+  BOOST_TEST(repeated.is_failure);
+  BOOST_TEST(!it.Send(kRequest, 600).is_failure);
+  auto given_up = it.Send({120, 50, false, true}, 900);
+  BOOST_TEST(given_up.is_given_up);
+  BOOST_TEST(!given_up.is_failure);
+  BOOST_TEST(it.load.in_flight == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(AnAnsweredFlowThatClosesIsNoFailure) {
+  Fixture it;
+  it.Send(kRequest, 0);
+  auto result = it.Send(kClosing, 30);
+  BOOST_TEST(result.is_answered);
+  BOOST_TEST(!result.is_given_up);
+}
+
+// The upstream was reset or is dead: no packet of the flow follows.
+BOOST_AUTO_TEST_CASE(ARequestWithoutAnswerLeavesTheCount) {
+  Fixture it;
+  OnFlowPlaced(it.tracker, kFlow, it.load, kStart);
+  for (int at_ms : {100, 200, 250, 299}) {
+    RemoveOverdue(it.tracker, kStart + milliseconds(at_ms));
+  }
+  BOOST_TEST(it.load.in_flight == 1U);
+  for (int i = 0; i < 4; ++i) {
+    RemoveOverdue(it.tracker, kStart + kMinInFlightTime);
+  }
+  BOOST_TEST(it.load.in_flight == 0U);
+  BOOST_TEST(!it.Send(kRequest, 700).is_answered);
+}
+
+BOOST_AUTO_TEST_CASE(AFlowInTheSameSlotEndsTheOlderRequest) {
+  Fixture it;
+  OnFlowPlaced(it.tracker, kFlow, it.load, kStart);
+  OnFlowPlaced(it.tracker, kFlow + kTrackedRequests, it.load, kStart);
+  BOOST_TEST(it.load.in_flight == 1U);
+}
+
+}  // namespace acaciahold::steering
--- a/unittests/Steering/tag_steering_test.cc
+++ b/unittests/Steering/tag_steering_test.cc
@@ -144,7 +144,8 @@
   auto steering = MakeSteering();
   auto flow = MakeOpening(1).flow;
   auto send = [&](const TaggedFlow& on, uint32_t sequence) {
-    return OnProgress(steering, on, TagOf(1), {sequence, 50, true, false});
+    return OnProgress(steering, on, TagOf(1), {sequence, 50, true, false},
+                      kStart);
   };
   BOOST_TEST(!send(flow, 100));
   BOOST_TEST(!send(MakeOpening(2).flow, 100));
@@ -164,16 +165,17 @@
   auto steering = MakeSteering();
   auto answered = MakeOpening(1).flow;
   auto given_up = MakeOpening(2).flow;
-  OnProgress(steering, answered, TagOf(1), {100, 50, true, false});
-  OnProgress(steering, answered, TagOf(1), {120, 90, false, true});
+  OnProgress(steering, answered, TagOf(1), {100, 50, true, false}, kStart);
+  OnProgress(steering, answered, TagOf(1), {120, 90, false, true}, kStart);
   BOOST_TEST(TakeFailures(steering).empty());
-  OnProgress(steering, given_up, TagOf(2), {100, 50, true, false});
-  OnProgress(steering, given_up, TagOf(2), {120, 50, false, true});
+  OnProgress(steering, given_up, TagOf(2), {100, 50, true, false}, kStart);
+  OnProgress(steering, given_up, TagOf(2), {120, 50, false, true}, kStart);
   BOOST_TEST(steering.counts.given_up == 1U);
   BOOST_TEST((TakeFailures(steering) ==
               std::vector<directory::UpstreamFailures>{{2, 1}}));
   // A flow whose data passed another host is not counted here.
-  OnProgress(steering, MakeOpening(3).flow, TagOf(3), {120, 50, false, true});
+  OnProgress(steering, MakeOpening(3).flow, TagOf(3), {120, 50, false, true},
+             kStart);
   BOOST_TEST(TakeFailures(steering).empty());
 }
 
@@ -550,4 +552,32 @@
   BOOST_CHECK(decision.reason == TagReason::kUnknownTag);
 }
 
+namespace {
+
+// Makes the service's response time high for long enough, with many requests
+// in flight.
+void OverloadService(TagSteering& steering) {
+  auto& load = steering.services.begin()->second.load;
+  load.response_seconds = 1;
+  load.idle_response_seconds = 0.1;
+  load.high_since = kStart - 2 * kOverloadDelay;
+  load.in_flight = 1'000;
+}
+
+}  // namespace
+
+// A new flow that can't be served in time is refused at once. A retransmission
+// may belong to a flow that another host has forwarded: it must not be reset.
+BOOST_AUTO_TEST_CASE(RefusesOnlyFirstOpeningsInAnOverload) {
+  auto steering = MakeSteering();
+  OverloadService(steering);
+  auto refused = OnOpening(steering, MakeOpening(1), kStart);
+  BOOST_TEST((refused.verdict == TagVerdict::kReset));
+  BOOST_TEST((refused.reason == TagReason::kOverloaded));
+  auto opening = MakeOpening(2);
+  opening.copy = 1;
+  auto placed = OnOpening(steering, opening, kStart);
+  BOOST_TEST((placed.verdict == TagVerdict::kForward));
+}
+
 }  // namespace acaciahold::steering
