--- a/lib/Steering/overload.cc
+++ b/lib/Steering/overload.cc
@@ -19,6 +19,12 @@
   return load.answers * std::exp(-age / Seconds(kAnswerRateTimeConstant));
 }
 
+// Whether the response time of idle upstreams is not known yet.
+bool IsLearning(const ServiceLoad& load, Instant now) {
+  return load.first_answer_at == Instant() ||
+         now < load.first_answer_at + kLearningTime;
+}
+
 // `elapsed` is the time since the last answer, in seconds.
 void UpdateIdleResponse(ServiceLoad& load, double elapsed) {
   double& idle = load.idle_response_seconds;
@@ -65,7 +71,7 @@
   load.answers = AnswersAt(load, now) + 1;
   load.answers_updated_at = now;
   UpdateResponse(load, Seconds(std::min(response_time, InFlightTime(load))));
-  if (now < load.first_answer_at + kLearningTime) {
+  if (IsLearning(load, now)) {
     return;
   }
   UpdateIdleResponse(load, elapsed);
@@ -92,4 +98,8 @@
          std::max(answered_in_time, kMinRequestsPerSlot * host_slots);
 }
 
+bool ShouldWait(const ServiceLoad& load, double host_slots, Instant now) {
+  return IsLearning(load, now) && load.in_flight >= host_slots;
+}
+
 }  // namespace acaciahold::steering
