Take back the waiting of late openings; keep early packets for 80 ms

Cause: an upstream that hangs in the seconds after a restart keeps requests in flight, so that every retransmitted opening waited and few were moved to another upstream. Change: the waiting of late openings is removed with its tests of that policy; the shorter time for early packets stays, now with a test of its own. The test of the refusal, RefusesOnlyFirstOpeningsInAnOverload, is as before. Explain names the cause 'overloaded'; metrics show a service's requests in flight and response times. Tests first: PacketsThatAreRetransmittedSoonAreNotReturned fails with 200 ms.

--- a/include/acaciahold/Steering/overload.h
+++ b/include/acaciahold/Steering/overload.h
@@ -1,8 +1,7 @@
 // Decides when an entry host refuses the opening packet of a new flow because
-// its request could not be answered in time, and when it leaves one to a later
-// retransmission. Performs no I/O.
+// its request could not be answered in time. Performs no I/O.
 //
-// Refusals are designed for more requests than the upstreams of a service can
+// It is designed for more requests than the upstreams of a service can
 // answer, for longer than their queues can absorb. Then every queue stays full,
 // every answer is late, upstreams refuse requests only after these have waited,
 // and each refused request comes back. Refusing some openings at once keeps the
@@ -12,11 +11,6 @@
 // The response times of an upstream that does not answer don't count, so that
 // a dead upstream is not mistaken for a full one. A short burst is left to the
 // queues of the upstreams.
-//
-// Waiting is designed for the first seconds after a restart of all hosts. Then
-// the retransmissions of all callers that waited arrive together with new
-// openings. A retransmitted opening will be answered late in any case, while a
-// new one can still be answered in time, so the new ones go first.
 
 #ifndef ACACIAHOLD_STEERING_OVERLOAD_H_
 #define ACACIAHOLD_STEERING_OVERLOAD_H_
@@ -89,10 +83,6 @@
 // slots of the upstreams that may take it.
 bool IsOverloaded(const ServiceLoad& load, double host_slots, Instant now);
 
-// Whether an opening that its caller will retransmit once more waits for that:
-// the host has started recently and its share of the slots is busy.
-bool ShouldWait(const ServiceLoad& load, double host_slots, Instant now);
-
 }  // namespace acaciahold::steering
 
 #endif  // ACACIAHOLD_STEERING_OVERLOAD_H_
--- a/include/acaciahold/Steering/tag_steering.h
+++ b/include/acaciahold/Steering/tag_steering.h
@@ -52,8 +52,6 @@
   TaggedFlow flow;
   uint32_t sequence = 0;  // The caller's first sequence number.
   uint32_t copy = 0;      // 0 for the first packet, n for retransmission n.
-  // No further retransmission follows.
-  bool is_last_copy = false;
 };
 
 enum class TagVerdict {
@@ -73,10 +71,9 @@
   kUnknownTag,      // The upstream's record may not have been received yet.
   kStalled,         // This process was stalled and has not caught up yet.
   kOverloaded,      // The upstreams could not answer in time; see overload.h.
-  kDeferred,        // Waits for its next retransmission; see overload.h.
 };
 inline constexpr size_t kTagReasons =
-    static_cast<size_t>(TagReason::kDeferred) + 1;
+    static_cast<size_t>(TagReason::kOverloaded) + 1;
 
 struct TagDecision {
   TagVerdict verdict = TagVerdict::kDrop;
--- a/lib/Explain/diagnosis.cc
+++ b/lib/Explain/diagnosis.cc
@@ -205,6 +205,9 @@
   if (HasOutcome(diagnosis, "no_upstream")) {
     return Cause::kNoUpstream;
   }
+  if (HasOutcome(diagnosis, "overloaded")) {
+    return Cause::kOverloaded;
+  }
   if (HasUpstreamStoppedOrRestarted(diagnosis)) {
     return Cause::kUpstreamLost;
   }
@@ -295,6 +298,8 @@
       return "no_listener";
     case Cause::kNoUpstream:
       return "no_upstream";
+    case Cause::kOverloaded:
+      return "overloaded";
     case Cause::kHostStarting:
       return "host_starting";
     case Cause::kUpstreamLost:
@@ -323,6 +328,9 @@
              "address";
     case Cause::kNoUpstream:
       return "rejected: no upstream of the service was available";
+    case Cause::kOverloaded:
+      return "rejected: the upstreams of the service had more requests than "
+             "they could answer in time; the request was not run";
     case Cause::kHostStarting:
       return "the host had just started or had stalled, and did not know "
              "the service table or the upstream yet";
--- a/lib/Node/node_metrics.cc
+++ b/lib/Node/node_metrics.cc
@@ -37,6 +37,32 @@
   families.Add(view.domains_out.size());
 }
 
+// By service: the inputs of the decision to refuse new flows.
+void AddServiceLoads(MetricFamilies& families,
+                     const steering::TagSteering& steering) {
+  constexpr double kMicrosecondsPerSecond = 1e6;
+  families.BeginFamily("acaciahold_requests_in_flight",
+                       "Requests through this host without an answer", kGauge);
+  for (const auto& [name, service] : steering.services) {
+    families.Add(service.load.in_flight, "service", name);
+  }
+  families.BeginFamily("acaciahold_response_microseconds",
+                       "Smoothed response time of recent requests", kGauge);
+  for (const auto& [name, service] : steering.services) {
+    families.Add(static_cast<uint64_t>(service.load.response_seconds *
+                                       kMicrosecondsPerSecond),
+                 "service", name);
+  }
+  families.BeginFamily("acaciahold_idle_response_microseconds",
+                       "Response time of upstreams without a queue; 0: unknown",
+                       kGauge);
+  for (const auto& [name, service] : steering.services) {
+    families.Add(static_cast<uint64_t>(service.load.idle_response_seconds *
+                                       kMicrosecondsPerSecond),
+                 "service", name);
+  }
+}
+
 void AddPacer(MetricFamilies& families, const Pacer& pacer) {
   families.BeginFamily("acaciahold_packets_waiting",
                        "Packets that wait for the host's link", kGauge);
@@ -88,6 +114,7 @@
                        "Packets that the socket did not take");
   families.Add(port.send_failures());
   AddPacer(families, port.pacer());
+  AddServiceLoads(families, steering);
   families.BeginFamily("acaciahold_ready",
                        "Whether the fabric may use this host", kGauge);
   families.Add(entry.is_ready() ? 1 : 0);
--- a/lib/Steering/overload.cc
+++ b/lib/Steering/overload.cc
@@ -21,8 +21,7 @@
 
 // Whether the response time of idle upstreams is not known yet.
 bool IsLearning(const ServiceLoad& load, Instant now) {
-  return load.first_answer_at == Instant() ||
-         now < load.first_answer_at + kLearningTime;
+  return now < load.first_answer_at + kLearningTime;
 }
 
 // `elapsed` is the time since the last answer, in seconds.
@@ -98,8 +97,4 @@
          std::max(answered_in_time, kMinRequestsPerSlot * host_slots);
 }
 
-bool ShouldWait(const ServiceLoad& load, double host_slots, Instant now) {
-  return IsLearning(load, now) && load.in_flight >= host_slots;
-}
-
 }  // namespace acaciahold::steering
--- a/lib/Steering/tag_steering.cc
+++ b/lib/Steering/tag_steering.cc
@@ -238,29 +238,13 @@
   return slots / std::max(1U, steering.entry_hosts);
 }
 
-// What may be done with an opening in place of forwarding it.
-struct Alternatives {
-  bool may_refuse = false;
-  bool may_wait = false;  // For the caller's next retransmission.
-};
-
-// An opening that this host has forwarded before is only forwarded again. A
-// retransmission is not refused: another host may have forwarded the first
-// packet, so that the flow may be open.
-Alternatives AlternativesFor(const Opening& opening, bool was_forwarded) {
-  if (was_forwarded) {
-    return {};
-  }
-  bool is_first = opening.copy == 0;
-  return {is_first, !is_first && !opening.is_last_copy};
-}
-
 // Chooses an upstream for a new flow, other than the one with the tag
-// `excluded_tag` unless there is no other.
+// `excluded_tag` unless there is no other. Refuses the flow in an overload if
+// `may_refuse` is set.
 TagDecision PlaceFlow(TagSteering& steering,
                       const std::string& service_name,
                       Tag excluded_tag,
-                      Alternatives alternatives,
+                      bool may_refuse,
                       Instant now) {
   CollectCandidates(steering, service_name, now);
   const auto& upstreams = steering.scratch_upstreams;
@@ -268,13 +252,9 @@
     return {TagVerdict::kReset, TagReason::kNoUpstream, 0, {}, 0};
   }
   auto& service = steering.services.find(service_name)->second;
-  double host_slots = HostSlots(steering);
-  if (alternatives.may_refuse && IsOverloaded(service.load, host_slots, now)) {
+  if (may_refuse && IsOverloaded(service.load, HostSlots(steering), now)) {
     return {TagVerdict::kReset, TagReason::kOverloaded, 0, {}, 0};
   }
-  if (alternatives.may_wait && ShouldWait(service.load, host_slots, now)) {
-    return {TagVerdict::kDrop, TagReason::kDeferred, 0, {}, 0};
-  }
   int excluded = -1;
   for (size_t i = 0; i < upstreams.size(); ++i) {
     if (upstreams[i]->tag == excluded_tag && upstreams.size() > 1) {
@@ -357,9 +337,12 @@
   if (first_upstream) {
     OnUnanswered(steering, *first_upstream, now);
   }
-  auto decision = PlaceFlow(steering, ServiceOf(*it->second, hash),
-                            first_upstream ? first_upstream->tag : 0,
-                            AlternativesFor(opening, first_upstream), now);
+  // A retransmission is not refused: another host may have forwarded the first
+  // packet, so that the flow may be open.
+  bool may_refuse = !first_upstream && opening.copy == 0;
+  auto decision =
+      PlaceFlow(steering, ServiceOf(*it->second, hash),
+                first_upstream ? first_upstream->tag : 0, may_refuse, now);
   if (decision.verdict == TagVerdict::kForward) {
     RecordOpening(steering, opening, hash, decision, now);
   }
@@ -520,8 +503,6 @@
       return "stalled";
     case TagReason::kOverloaded:
       return "overloaded";
-    case TagReason::kDeferred:
-      return "deferred";
   }
   return "unknown_tag";
 }
--- a/unittests/Explain/diagnosis_test.cc
+++ b/unittests/Explain/diagnosis_test.cc
@@ -75,6 +75,12 @@
           R"("event":"flow_reset","outcome":"no_listener","upstream":0)")),
       kQuery);
   BOOST_TEST(CauseName(diagnosis.cause) == "no_listener");
+  diagnosis = DiagnoseFlow(
+      ParseLines(DecisionLine(
+          2'500,
+          R"("event":"flow_reset","outcome":"overloaded","upstream":0)")),
+      kQuery);
+  BOOST_TEST(CauseName(diagnosis.cause) == "overloaded");
 }
 
 BOOST_AUTO_TEST_CASE(UpstreamLossIsFoundInLogsOfAnyHost) {
--- a/unittests/Node/early_packets_test.cc
+++ b/unittests/Node/early_packets_test.cc
@@ -40,6 +40,25 @@
   BOOST_TEST(buffer.dropped == 1U);
 }
 
+// Packets arrive for 300 ms before the table does; callers retransmit each
+// after 200 ms. Guards against forwarding a packet and its retransmission
+// together, which fills the queues of the upstreams in the first second after a
+// restart.
+BOOST_AUTO_TEST_CASE(PacketsThatAreRetransmittedSoonAreNotReturned) {
+  constexpr milliseconds kRetransmissionInterval{200};
+  EarlyPacketBuffer buffer;
+  Instant table_received_at = kStart + milliseconds(300);
+  for (size_t n = 0; n < 100; ++n) {
+    Instant sent_at = kStart + milliseconds(3 * n);
+    AddEarlyPacket(buffer, MakePacket(n), sent_at);
+  }
+  for (const auto& packet : TakeEarlyPackets(buffer, table_received_at)) {
+    Instant sent_at = packet.deadline - kEarlyPacketTimeout;
+    BOOST_TEST((sent_at + kRetransmissionInterval >
+                table_received_at + kRetransmissionInterval / 2));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(BufferSizeIsBounded) {
   EarlyPacketBuffer buffer;
   for (size_t n = 0; n < kMaxEarlyPackets + 10; ++n) {
