Split reachability from tag steering; count a host's slots only when needed

Cause: tag_steering.h held the avoidance of upstreams and domains beside four other matters; the decision on an opening packet counted the host's share of slots each time. Change: reachability.h has what an entry host avoids, as it was; the share is counted only while response times are high. No decision changes. Unit tests as before.

--- a/include/acaciahold/Node/early_packets.h
+++ b/include/acaciahold/Node/early_packets.h
@@ -21,9 +21,9 @@
 // Covers what one host receives within some tens of milliseconds, with room for
 // a burst.
 inline constexpr size_t kMaxEarlyPackets = 256;
-// Age at which a buffered packet is dropped. The caller retransmits an older one
-// soon, 200 ms after it was sent; forwarding both would add to the load of the
-// first second.
+// Age at which a buffered packet is dropped. The caller retransmits an older
+// one soon, 200 ms after it was sent; forwarding both would add to the load of
+// the first second.
 inline constexpr Duration kEarlyPacketTimeout = std::chrono::milliseconds(80);
 
 struct EarlyPacket {
--- a/include/acaciahold/Steering/overload.h
+++ b/include/acaciahold/Steering/overload.h
@@ -79,8 +79,11 @@
 // counts as that time, since the upstream or the path to it was interrupted.
 void OnAnswer(ServiceLoad& load, Duration response_time, Instant now);
 
-// Whether to refuse a new request. `host_slots` is this host's share of the
-// slots of the upstreams that may take it.
+// Whether the response time has been high for kOverloadDelay.
+bool IsResponseHigh(const ServiceLoad& load, Instant now);
+
+// Whether to refuse a new request, which implies IsResponseHigh. `host_slots`
+// is this host's share of the slots of the upstreams that may take it.
 bool IsOverloaded(const ServiceLoad& load, double host_slots, Instant now);
 
 }  // namespace acaciahold::steering
--- a/include/acaciahold/Steering/tag_steering.h
+++ b/include/acaciahold/Steering/tag_steering.h
@@ -29,6 +29,7 @@
 #include "acaciahold/Directory/failure_detector.h"
 #include "acaciahold/Steering/overload.h"
 #include "acaciahold/Steering/placement.h"
+#include "acaciahold/Steering/reachability.h"
 #include "acaciahold/Steering/request_tracker.h"
 #include "acaciahold/Support/address.h"
 #include "acaciahold/Support/time.h"
@@ -87,9 +88,6 @@
 // time, or not at all. Shorter than the interval after which callers retransmit
 // opening packets.
 inline constexpr Duration kAnswerTimeout = std::chrono::milliseconds(150);
-// A flow without a further packet for this time counts as not opened: callers
-// have retransmitted the opening packet by then.
-inline constexpr Duration kOpenTimeout = std::chrono::milliseconds(450);
 // A longer interval between calls of OnTick means that this process was
 // stalled.
 inline constexpr Duration kStallThreshold = std::chrono::seconds(1);
@@ -97,32 +95,6 @@
 // first reads the updates that its feeds (see FeedMask) sent meanwhile. Callers
 // retransmit.
 inline constexpr Duration kStallRecoveryTime = std::chrono::milliseconds(200);
-// Number of consecutive unanswered openings after which an upstream is avoided.
-// More than one, as lost packets cause single unanswered openings.
-inline constexpr uint32_t kMaxUnanswered = 3;
-// How long an upstream or failure domain is avoided: the minimum at first, then
-// doubled each time up to the maximum.
-inline constexpr Duration kMinAvoidDuration = std::chrono::milliseconds(500);
-inline constexpr Duration kMaxAvoidDuration = std::chrono::seconds(4);
-
-// Number of consecutive unanswered openings, over all upstreams of a failure
-// domain, after which the domain is avoided. A network partition leaves all of
-// them unanswered.
-inline constexpr uint32_t kMaxUnansweredInDomain = 4;
-// Used instead of kMaxUnansweredInDomain if this host receives nothing from the
-// domain's control hosts either.
-inline constexpr uint32_t kMaxUnansweredWithoutControl = 1;
-
-// Results of the openings that were sent to one upstream, or to one failure
-// domain.
-struct Reachability {
-  uint32_t unanswered = 0;  // Consecutive unanswered openings.
-  Duration avoid_duration = kMinAvoidDuration;
-  // Before this time the upstream is chosen only if there is no other.
-  // Afterwards a single opening probes it.
-  Instant avoid_deadline;
-};
-
 // Token bucket that limits the new flows that this host sends to a cold
 // upstream; each flow takes one token. It starts empty, so that hosts that
 // learn of the upstream at the same time don't all send a flow at once.
--- a/lib/Steering/overload.cc
+++ b/lib/Steering/overload.cc
@@ -83,10 +83,13 @@
   }
 }
 
+bool IsResponseHigh(const ServiceLoad& load, Instant now) {
+  return load.high_since != Instant() &&
+         now >= load.high_since + kOverloadDelay;
+}
+
 bool IsOverloaded(const ServiceLoad& load, double host_slots, Instant now) {
-  bool is_high =
-      load.high_since != Instant() && now >= load.high_since + kOverloadDelay;
-  if (!is_high) {
+  if (!IsResponseHigh(load, now)) {
     return false;
   }
   double answers_per_second =
--- a/lib/Steering/tag_steering.cc
+++ b/lib/Steering/tag_steering.cc
@@ -134,21 +134,6 @@
           upstream.tag};
 }
 
-// Counts an unanswered opening. Once `threshold` consecutive ones are
-// unanswered, starts an avoidance unless one is in effect.
-void CountUnanswered(Reachability& reachability,
-                     uint32_t threshold,
-                     Instant now) {
-  ++reachability.unanswered;
-  if (reachability.unanswered < threshold ||
-      now < reachability.avoid_deadline) {
-    return;
-  }
-  reachability.avoid_deadline = now + reachability.avoid_duration;
-  reachability.avoid_duration =
-      std::min(reachability.avoid_duration * 2, kMaxAvoidDuration);
-}
-
 const std::string& DomainNameOf(const TagUpstream& upstream) {
   return upstream.entry->record.failure_domain;
 }
@@ -195,18 +180,6 @@
   counts.answer_seconds += seconds;
 }
 
-// Called for an opening that is being forwarded. If it probes an upstream or
-// domain whose avoidance has just expired, extends the avoidance by
-// kOpenTimeout, so that further openings wait for the result.
-void LimitToOneProbe(Reachability& reachability,
-                     uint32_t threshold,
-                     Instant now) {
-  if (reachability.unanswered >= threshold &&
-      now >= reachability.avoid_deadline) {
-    reachability.avoid_deadline = now + kOpenTimeout;
-  }
-}
-
 TagUpstream* FindTag(TagSteering& steering, Tag tag) {
   auto it = steering.by_tag.find(tag);
   return it == steering.by_tag.end() ? nullptr : it->second;
@@ -252,7 +225,9 @@
     return {TagVerdict::kReset, TagReason::kNoUpstream, 0, {}, 0};
   }
   auto& service = steering.services.find(service_name)->second;
-  if (may_refuse && IsOverloaded(service.load, HostSlots(steering), now)) {
+  bool is_refused = may_refuse && IsResponseHigh(service.load, now) &&
+                    IsOverloaded(service.load, HostSlots(steering), now);
+  if (is_refused) {
     return {TagVerdict::kReset, TagReason::kOverloaded, 0, {}, 0};
   }
   int excluded = -1;
