--- a/unittests/Steering/placement_test.cc
+++ b/unittests/Steering/placement_test.cc
@@ -204,7 +204,7 @@
   std::mt19937_64 random(7);
   for (uint32_t domains : {1U, 3U, 5U, 9U}) {
     StrideScheduler scheduler;
-    auto candidates = MakeDomains(10, 10 * domains, random);
+    auto candidates = MakeDomains(10, size_t{10} * domains, random);
     auto pointers = PointersTo(candidates);
     int remote = 0;
     for (int i = 0; i < 1'000; ++i) {
