Never refuse the only request of a host

Cause: found by reading. With hundreds of hosts before few upstreams, three requests a slot of a host's share are less than one request. After an overload such a host refused every opening; without a request no answer came that could end it, so it refused for ever. Change: a request is forwarded whenever none is in flight. Test first: AHostWithoutRequestsInFlightForwardsOne failed before the change. Measured: the Steering tests pass.

--- a/lib/Steering/overload.cc
+++ b/lib/Steering/overload.cc
@@ -96,8 +96,9 @@
       AnswersAt(load, now) / Seconds(kAnswerRateTimeConstant);
   double answered_in_time =
       answers_per_second * kMaxResponseFactor * load.idle_response_seconds;
+  // At least one request: its answer is what ends the overload.
   return load.in_flight + 1 >
-         std::max(answered_in_time, kMinRequestsPerSlot * host_slots);
+         std::max({answered_in_time, kMinRequestsPerSlot * host_slots, 1.0});
 }
 
 }  // namespace acaciahold::steering
--- a/unittests/Steering/overload_test.cc
+++ b/unittests/Steering/overload_test.cc
@@ -171,4 +171,19 @@
   BOOST_TEST(load.response_seconds <= 0.3);
 }
 
+// Hundreds of hosts share few upstreams, so that a host's share of the slots is
+// a fraction of one. Guards against a host that refuses every opening after an
+// overload: without a request there is no answer that could end it.
+BOOST_AUTO_TEST_CASE(AHostWithoutRequestsInFlightForwardsOne) {
+  Model model;
+  Run(model, 0.5, 2 * kLearningTime, true);
+  Run(model, 1.5, std::chrono::seconds(3), true);
+  auto load = model.load;
+  load.in_flight = 0;
+  constexpr double kSmallShare = 0.003;
+  Instant later = model.now + std::chrono::seconds(30);
+  BOOST_TEST(IsResponseHigh(load, later));
+  BOOST_TEST(!IsOverloaded(load, kSmallShare, later));
+}
+
 }  // namespace acaciahold::steering
