--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")" || exit 2
 program=../../target/review/two_replacements
 [ -x "$program" ] || exit 2
-exec "$program" "$(cd ../.. && pwd)" record.txt "${TROUBLE:-1}"
+exec "$program" "$(cd ../.. && pwd)" record.txt "${TROUBLE:-1}" storm
--- a/review/standins/two_replacements.cpp
+++ b/review/standins/two_replacements.cpp
@@ -7,18 +7,23 @@
 
 using namespace review;
 
-constexpr int kSyncMs = 4'000;        // syncS
-constexpr int kSuccessorMs = 10'000;  // The successor runs first: over syncS.
-constexpr int kSeedLagMs = 3'000;     // seedLagS
-constexpr int kStormGapMs = 80;       // config_storm: gap_s 0.08, for_s 2.
-constexpr int kStormMs = 2'000;
+constexpr int kSyncMs = 4'000;         // syncS
+constexpr int kSuccessorMs = 10'000;   // The successor runs first: over syncS.
+constexpr int kSeedLagMs = 3'000;      // seedLagS
+constexpr int kStormGapMs = 80;        // config_storm: gap_s 0.08, for_s 2.
+constexpr int kStormMs = 4'000;        // Two of them, one after the other.
+constexpr int kLaterMs = 4'000;        // If TROUBLE=2.
 constexpr int kReplacementMs = 2'000;  // replace_core: x = 2.
 constexpr int kReadMs = 30'000;        // Over recoveryS (12), ackMs (5) and 4.
 
 class Scenario {
  public:
-  Scenario(const std::string& root, const std::string& record_path, int trouble)
+  Scenario(const std::string& root,
+           const std::string& record_path,
+           int trouble,
+           bool has_storm)
       : trouble_(trouble),
+        has_storm_(has_storm),
         record_(record_path),
         deployment_(root, record_),
         operator_(deployment_, record_) {}
@@ -65,6 +70,7 @@
   int ReadBack();
 
   int trouble_;
+  bool has_storm_;
   Record record_;
   Deployment deployment_;
   Operator operator_;
@@ -137,11 +143,14 @@
   Change();
   Sleep(RemainingMs(terminated_at + milliseconds(kSeedLagMs)));
   if (trouble_ == 2) {
-    ChangeFor(kStormMs + 3'000, 500);
-  } else {
+    ChangeFor(kLaterMs, 500);
+  } else if (has_storm_) {
     record_.Line("note    changes in quick succession, one each %d ms",
                  kStormGapMs);
     ChangeFor(kStormMs, kStormGapMs);
+  } else {
+    Change();
+    Sleep(RemainingMs(terminated_at + milliseconds(kSyncMs + 50)));
   }
   auto& lost = Leader();
   deployment_.Kill(lost);
@@ -160,8 +169,9 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  if (argc != 4) {
+  if (argc != 5) {
     return kCouldNotRun;
   }
-  return Scenario(argv[1], argv[2], std::atoi(argv[3])).Run();
+  bool has_storm = std::strcmp(argv[4], "storm") == 0;
+  return Scenario(argv[1], argv[2], std::atoi(argv[3]), has_storm).Run();
 }
