--- a/review/standins/harness.hpp
+++ b/review/standins/harness.hpp
@@ -360,7 +360,7 @@
 
   static bool IsFree(int port) {
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    auto at = ToSockaddr("0.0.0.0", port);
+    auto at = ToSockaddr("127.0.0.1", port);
     bool is_free = bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof(at)) == 0;
     close(fd);
     return is_free;
@@ -436,7 +436,7 @@
   std::string routes;
   for (int i = 0; i < 10; ++i) {
     routes += std::string(i ? "," : "") + R"({"name":"r-)" + std::to_string(i) +
-              R"(","host":"198.18.0.1","prefix":"/)" +
+              R"(","host":"127.18.0.1","prefix":"/)" +
               std::to_string(8'000 + i) + R"(/","kind":"safe","timeoutMs":)" +
               std::to_string(800 + version) +
               R"(,"goalMs":120,"priority":2,"service":"desk","attempts":2})";
