review: case 6, overlapping losses end the control group for good

Cause shown: voters are removed down to three or four, whatever the fault tolerance is; two lost disks then take the majority.

--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of cases 6 to 10 below target/review-2/. They need the
+# C++ compiler and the C library alone.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target/review-2
+for program in overlapping_losses; do
+  g++ -std=c++20 -O1 -Wall -Wextra -o "target/review-2/$program" \
+    "review/standins-2/$program.cc" review/standins-2/fleet.cc
+done
