--- a/review/standins-2/fleet.cc
+++ b/review/standins-2/fleet.cc
@@ -187,6 +187,12 @@
   return index;
 }
 
+int Fleet::AddLate(bool is_control, const std::string& zone) {
+  int index = Add(is_control, zone);
+  hosts_[index].bootstrap = false;
+  return index;
+}
+
 void Fleet::SetSeeds() {
   for (size_t i = 0; i < hosts_.size() && seeds_.size() < 3; ++i) {
     if (hosts_[i].is_control) {
--- a/review/standins-2/fleet.h
+++ b/review/standins-2/fleet.h
@@ -72,6 +72,8 @@
 
   // Adds a host; returns its index.
   int Add(bool is_control, const std::string& zone);
+  // Adds an empty machine while the system runs: no bootstrap.
+  int AddLate(bool is_control, const std::string& zone);
   // Fixes the seeds: the first three control hosts.
   void SetSeeds();
   void Start(int host);
