--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,5 +6,5 @@
 mkdir -p target/review-2
 for program in overlapping_losses lost_at_first_start leader_of_four_lost; do
   g++ -std=c++20 -O1 -Wall -Wextra -o "target/review-2/$program" \
-    "review/standins-2/$program.cc" review/standins-2/fleet.cc
+    "review/standins-2/$program.cpp" review/standins-2/fleet.cpp
 done
--- a/review/standins-2/fleet.cc
+++ b/review/standins-2/fleet.cpp
@@ -1,6 +1,6 @@
 // Processes, settings files and HTTP of the review's stand-ins.
 
-#include "fleet.h"
+#include "fleet.hpp"
 
 #include <cerrno>
 #include <csignal>
--- a/review/standins-2/fleet.h
+++ b/review/standins-2/fleet.hpp
@@ -5,8 +5,8 @@
 // of a small deployment. Every process is a child of this one and is killed
 // when the fleet goes out of scope.
 
-#ifndef REVIEW_STANDINS_2_FLEET_H_
-#define REVIEW_STANDINS_2_FLEET_H_
+#ifndef REVIEW_STANDINS_2_FLEET_HPP_
+#define REVIEW_STANDINS_2_FLEET_HPP_
 
 #include <chrono>
 #include <cstdint>
@@ -140,4 +140,4 @@
 
 }  // namespace review
 
-#endif  // REVIEW_STANDINS_2_FLEET_H_
+#endif  // REVIEW_STANDINS_2_FLEET_HPP_
--- a/review/standins-2/overlapping_losses.cc
+++ b/review/standins-2/overlapping_losses.cpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "fleet.h"
+#include "fleet.hpp"
 
 namespace {
 
