--- a/include/acaciahold/Consensus/group.h
+++ b/include/acaciahold/Consensus/group.h
@@ -5,6 +5,12 @@
 // other host sends a join request; the leader adds it as a learner and promotes
 // it to voter once it has the committed log. A host that lost its disk joins as
 // a new member, which replaces the member that it was before.
+//
+// To bear the loss of f disks at any moment, a group needs 2f + 1 voters at any
+// moment: whatever a majority has stored is then still on a disk of the others,
+// and these are a majority. The leader therefore keeps MinVoters. A voter that
+// is silent may come back with its disk, so it counts as a voter until the
+// group has more than that.
 
 #ifndef ACACIAHOLD_CONSENSUS_GROUP_H_
 #define ACACIAHOLD_CONSENSUS_GROUP_H_
@@ -19,16 +25,16 @@
 
 namespace acaciahold::consensus {
 
-// Maximum number of members. Further control hosts wait until one is removed.
+// Maximum number of members that are not about to be replaced. Further control
+// hosts wait until one is removed.
 inline constexpr size_t kMaxMembers = 9;
-// An unresponsive voter is not removed from a group of this size or smaller
-// unless a learner can replace it: with three voters, every committed entry is
+// The least that MinVoters returns: with three voters, every committed entry is
 // stored on at least two disks.
 inline constexpr size_t kMinVoters = 3;
 // A learner that has not replied for this long is removed. Longer than a
 // restart takes. A removed member that comes back joins again within a second.
 inline constexpr Duration kLearnerTimeout = std::chrono::seconds(3);
-// The same for a voter while there are more than kMinVoters. Short, because the
+// The same for a voter while there are more than MinVoters. Short, because the
 // silent voter still raises the majority: of four voters, the loss of one more
 // would stop the group.
 inline constexpr Duration kSpareVoterTimeout = kElectionTimeoutMin;
@@ -71,21 +77,31 @@
 // Records that the member is about to end and asks to be removed.
 void OnLeaveRequest(MemberRequests& member_requests, ReplicaId id, Instant now);
 
-// Returns whether the group can do without the member: there are more than
-// kMinVoters, or a responsive learner can replace it.
+// Returns how many voters the leader keeps at least: 2f + 1, where f is
+// `tolerated_disk_losses`. Where that isn't known, f is the most that the group
+// ever bore, which goes with its log, and no removal lowers it. From kMinVoters
+// to kMaxMembers. A superseded voter is removed all the same: its disk is one
+// of the f, so that those that are left bear the rest until its successor has
+// its vote.
+size_t MinVoters(const Replica& replica);
+
+// Returns whether the group can do without the member: it has no vote, there
+// are more than MinVoters, or a responsive learner can replace it.
 bool CanSpare(const Replica& replica, const Member& member, Instant now);
 
 // Returns whether the member may leave: it has no vote, or there are more than
-// kMinVoters. A learner that could replace it is promoted first. The removal of
+// MinVoters. A learner that could replace it is promoted first. The removal of
 // one of three would need the votes of both others; if one of them were lost
 // before it is committed, nobody could be elected any more, even if the member
 // came back.
 bool MayLeave(const Replica& replica, const Member& member);
 
+// In the order in which members are removed: one that is gone for good goes
+// before one that may come back, and both before one that is still there.
 enum class MemberChangeReason {
   kSuperseded,    // Another replica uses the member's endpoint.
-  kLeaving,       // The member asks to be removed.
   kUnresponsive,  // The member has not replied for too long.
+  kLeaving,       // The member asks to be removed.
   kJoining,       // A host that is not a member requests to join.
 };
 
--- a/include/acaciahold/Consensus/message.h
+++ b/include/acaciahold/Consensus/message.h
@@ -3,6 +3,7 @@
 #ifndef ACACIAHOLD_CONSENSUS_MESSAGE_H_
 #define ACACIAHOLD_CONSENSUS_MESSAGE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -42,6 +43,9 @@
   Term term = 0;
   EntryKind kind = EntryKind::kNoOp;
   std::string payload;
+  // kMembers: how many voters the leader kept at least when it appended the
+  // list (see MinVoters). 0 if it was of an earlier version.
+  size_t min_voters = 0;
 
   bool operator==(const LogEntry&) const = default;
 };
@@ -52,6 +56,7 @@
   Term term = 0;
   std::vector<Member> members;
   std::string data;
+  size_t min_voters = 0;  // Of the entry that holds `members`.
 
   bool operator==(const Snapshot&) const = default;
 };
--- a/include/acaciahold/Consensus/replica.h
+++ b/include/acaciahold/Consensus/replica.h
@@ -90,6 +90,8 @@
 struct Replica {
   ReplicaId id = 0;
   uint64_t instance = 0;
+  // See StartState.
+  std::optional<uint32_t> tolerated_disk_losses;
   std::mt19937_64 random;
   HardState hard_state;
   Snapshot snapshot;
@@ -111,6 +113,7 @@
   // The newest member list in the log, committed or not.
   std::vector<Member> members;
   Index members_index = 0;  // Index of the entry that holds `members`.
+  size_t min_voters = 0;    // Of that entry.
   // Messages ignored because the sender's instance was not the expected one.
   uint64_t rejected_instances = 0;
   uint64_t read_round = 0;  // Read round, incremented by each StartRead.
@@ -122,6 +125,9 @@
   ReplicaId id = 0;
   uint64_t instance = 0;
   uint64_t seed = 0;
+  // How many members may lose their disk at the same time, as the settings
+  // say; nullopt: as many as the voters ever bore. See MinVoters.
+  std::optional<uint32_t> tolerated_disk_losses;
   HardState hard_state;
   Snapshot snapshot;
   std::vector<LogEntry> entries;
@@ -187,6 +193,7 @@
 Output Compact(Replica& replica, std::string data);
 
 Index LastIndex(const Replica& replica);
+size_t CountVoters(const Replica& replica);
 bool IsVoter(const Replica& replica, ReplicaId id);
 
 }  // namespace acaciahold::consensus
--- a/include/acaciahold/Node/node_settings.h
+++ b/include/acaciahold/Node/node_settings.h
@@ -4,6 +4,8 @@
 #ifndef ACACIAHOLD_NODE_NODE_SETTINGS_H_
 #define ACACIAHOLD_NODE_NODE_SETTINGS_H_
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,6 +18,9 @@
 
 enum class NodeRole { kEntry, kControl };
 
+// Groups have fewer members than that; a larger number is a mistake.
+inline constexpr uint32_t kMaxToleratedDiskLosses = 1'000;
+
 // Invariants after ReadNodeSettings without errors: `seeds` is not empty, and
 // the endpoints of the role are set.
 struct NodeSettings {
@@ -47,6 +52,9 @@
   std::string data_folder;
   // Whether to found the group at the first start of a deployment.
   bool founds_group = false;
+  // How many control hosts may lose their disk at the same time; nullopt: as
+  // many as their number bears. The same on all control hosts.
+  std::optional<uint32_t> tolerated_disk_losses;
 
   Endpoint link() const { return {address, link_port}; }
   Endpoint bound_link() const { return {bind_address, link_port}; }
--- a/include/acaciahold/Node/replica_driver.h
+++ b/include/acaciahold/Node/replica_driver.h
@@ -41,6 +41,8 @@
   // Link endpoints of the initial members if this host helps to found a new
   // group; empty if it joins an existing one.
   std::vector<Endpoint> founders;
+  // See consensus::StartState.
+  std::optional<uint32_t> tolerated_disk_losses;
 };
 
 class ReplicaDriver {
@@ -119,6 +121,7 @@
 
   Result<void> OpenFolder();
   void Tick();
+  void ReportUnresponsiveVoters(Instant now);
   void ProposeMemberChange(Instant now);
   void ProcessOutput(consensus::Output output);
   bool Store(const consensus::Persist& persist);
--- a/lib/Consensus/group.cc
+++ b/lib/Consensus/group.cc
@@ -9,6 +9,11 @@
 namespace acaciahold::consensus {
 namespace {
 
+// Returns how many voters bear the loss of this many disks.
+size_t VotersToBear(size_t disk_losses) {
+  return 2 * disk_losses + 1;
+}
+
 Instant LastReplyAt(const Replica& replica, const Member& member, Instant now) {
   if (member.id == replica.id) {
     return now;
@@ -34,6 +39,14 @@
          now < it->second.last_reply_at + kElectionTimeoutMin;
 }
 
+// Returns the number of voters that have replied to this leader lately.
+size_t CountRecentVoters(const Replica& replica, Instant now) {
+  return std::count_if(replica.members.begin(), replica.members.end(),
+                       [&](const Member& m) {
+                         return m.is_voter && HasRepliedLately(replica, m, now);
+                       });
+}
+
 // Returns whether a majority of the voters without `removed` has replied
 // lately, so that the removal will be committed. One that is not committed
 // would leave a log that is ahead of the others and a majority that is lost.
@@ -41,16 +54,10 @@
   if (!removed.is_voter) {
     return true;
   }
-  size_t voters = 0;
-  size_t responsive = 0;
-  for (const auto& member : replica.members) {
-    if (!member.is_voter || member.id == removed.id) {
-      continue;
-    }
-    ++voters;
-    responsive += HasRepliedLately(replica, member, now) ? 1 : 0;
-  }
-  return voters > 0 && responsive >= voters / 2 + 1;
+  size_t voters = CountVoters(replica) - 1;
+  size_t recent = CountRecentVoters(replica, now) -
+                  (HasRepliedLately(replica, removed, now) ? 1 : 0);
+  return voters > 0 && recent >= MajorityOf(voters);
 }
 
 MemberChange RemovalOf(const Replica& replica,
@@ -92,13 +99,13 @@
                      });
 }
 
-// Returns how long the member may stay without a reply before it is removed if
-// the group can spare it.
-Duration RemovalTimeout(const Replica& replica, const Member& member) {
+// Returns how long the member may stay without a reply before it counts as
+// lost.
+Duration LossTimeout(const Replica& replica, const Member& member) {
   if (!member.is_voter) {
     return kLearnerTimeout;
   }
-  if (CountVoters(replica) > kMinVoters) {
+  if (CountVoters(replica) > MinVoters(replica)) {
     return kSpareVoterTimeout;
   }
   auto it = replica.progress.find(member.id);
@@ -106,31 +113,45 @@
   return has_replied ? kReplaceTimeout : kNeverRepliedReplaceTimeout;
 }
 
-bool IsUnresponsive(const Replica& replica, const Member& member, Instant now) {
+bool IsLost(const Replica& replica, const Member& member, Instant now) {
   return now >=
-         LastReplyAt(replica, member, now) + RemovalTimeout(replica, member);
+         LastReplyAt(replica, member, now) + LossTimeout(replica, member);
 }
 
-// Returns why the member should be removed, or nullopt.
-std::optional<MemberChangeReason> ReasonToRemove(
-    const Replica& replica,
-    const MemberRequests& member_requests,
-    const Member& member,
-    Instant now) {
-  if (IsSuperseded(replica, member_requests, member)) {
-    return MemberChangeReason::kSuperseded;
-  }
-  if (member.id == replica.id || !CanSpare(replica, member, now)) {
-    return std::nullopt;
-  }
-  bool is_leaving = member_requests.leave_deadlines.contains(member.id);
-  if (is_leaving && MayLeave(replica, member)) {
-    return MemberChangeReason::kLeaving;
+// Returns whether the member should be removed for this reason.
+bool IsToBeRemoved(const Replica& replica,
+                   const MemberRequests& member_requests,
+                   const Member& member,
+                   MemberChangeReason reason,
+                   Instant now) {
+  if (member.id == replica.id) {
+    return false;
   }
-  if (IsUnresponsive(replica, member, now)) {
-    return MemberChangeReason::kUnresponsive;
+  switch (reason) {
+    case MemberChangeReason::kSuperseded:
+      return IsSuperseded(replica, member_requests, member);
+    case MemberChangeReason::kUnresponsive:
+      return CanSpare(replica, member, now) && IsLost(replica, member, now);
+    case MemberChangeReason::kLeaving:
+      return MayLeave(replica, member) &&
+             member_requests.leave_deadlines.contains(member.id);
+    case MemberChangeReason::kJoining:
+      return false;
   }
-  return std::nullopt;
+  return false;
+}
+
+// Returns whether another host may join. Members that are about to be replaced
+// don't count, so that they can be.
+bool HasRoom(const Replica& replica,
+             const MemberRequests& member_requests,
+             Instant now) {
+  size_t lasting = std::count_if(
+      replica.members.begin(), replica.members.end(), [&](const Member& m) {
+        return !IsSuperseded(replica, member_requests, m) &&
+               !IsLost(replica, m, now);
+      });
+  return lasting < kMaxMembers;
 }
 
 const JoinRequest* FindNewRequest(const Replica& replica,
@@ -166,13 +187,22 @@
   member_requests.joins.erase(id);
 }
 
+size_t MinVoters(const Replica& replica) {
+  size_t min_voters = replica.min_voters;
+  if (replica.tolerated_disk_losses) {
+    min_voters = VotersToBear(*replica.tolerated_disk_losses);
+  } else if (size_t voters = CountVoters(replica); voters > 0) {
+    min_voters = std::max(min_voters, VotersToBear((voters - 1) / 2));
+  }
+  return std::clamp(min_voters, kMinVoters, kMaxMembers);
+}
+
 bool CanSpare(const Replica& replica, const Member& member, Instant now) {
-  return !member.is_voter || CountVoters(replica) > kMinVoters ||
-         HasResponsiveLearner(replica, now);
+  return MayLeave(replica, member) || HasResponsiveLearner(replica, now);
 }
 
 bool MayLeave(const Replica& replica, const Member& member) {
-  return !member.is_voter || CountVoters(replica) > kMinVoters;
+  return !member.is_voter || CountVoters(replica) > MinVoters(replica);
 }
 
 std::optional<MemberChange> NextMemberChange(const Replica& replica,
@@ -185,14 +215,18 @@
   if (replica.role != Role::kLeader) {
     return std::nullopt;
   }
-  for (const auto& member : replica.members) {
-    auto reason = ReasonToRemove(replica, member_requests, member, now);
-    if (reason && CanRemove(replica, member, now)) {
-      return RemovalOf(replica, member, *reason);
+  for (auto reason :
+       {MemberChangeReason::kSuperseded, MemberChangeReason::kUnresponsive,
+        MemberChangeReason::kLeaving}) {
+    for (const auto& member : replica.members) {
+      if (IsToBeRemoved(replica, member_requests, member, reason, now) &&
+          CanRemove(replica, member, now)) {
+        return RemovalOf(replica, member, reason);
+      }
     }
   }
   const auto* request = FindNewRequest(replica, member_requests);
-  if (!request || replica.members.size() >= kMaxMembers) {
+  if (!request || !HasRoom(replica, member_requests, now)) {
     return std::nullopt;
   }
   MemberChange change{MemberChangeReason::kJoining, request->id,
--- a/lib/Consensus/message.cc
+++ b/lib/Consensus/message.cc
@@ -13,6 +13,15 @@
 using json::EnumAt;
 using json::NumberAt;
 
+// Hosts of earlier versions don't write it, and ignore it.
+constexpr const char* kMinVotersKey = "min_voters";
+
+size_t DecodeMinVoters(const boost::json::object& object) {
+  return object.contains(kMinVotersKey)
+             ? NumberAt<size_t>(object, kMinVotersKey)
+             : 0;
+}
+
 std::vector<Member> DecodeMembers(const boost::json::value& value) {
   std::vector<Member> members;
   for (const auto& it : value.as_array()) {
@@ -29,14 +38,15 @@
   const auto& object = value.as_object();
   return {NumberAt<Index>(object, "index"), NumberAt<Term>(object, "term"),
           EnumAt(object, "kind", EntryKind::kMembers),
-          std::string(object.at("payload").as_string())};
+          std::string(object.at("payload").as_string()),
+          DecodeMinVoters(object)};
 }
 
 Snapshot DecodeSnapshot(const boost::json::value& value) {
   const auto& object = value.as_object();
   return {NumberAt<Index>(object, "index"), NumberAt<Term>(object, "term"),
           DecodeMembers(object.at("members")),
-          std::string(object.at("data").as_string())};
+          std::string(object.at("data").as_string()), DecodeMinVoters(object)};
 }
 
 HardState DecodeHardState(const boost::json::value& value) {
@@ -85,10 +95,14 @@
 }
 
 boost::json::value ToJson(const LogEntry& entry) {
-  return {{"index", entry.index},
-          {"term", entry.term},
-          {"kind", static_cast<int>(entry.kind)},
-          {"payload", entry.payload}};
+  boost::json::object object{{"index", entry.index},
+                             {"term", entry.term},
+                             {"kind", static_cast<int>(entry.kind)},
+                             {"payload", entry.payload}};
+  if (entry.kind == EntryKind::kMembers) {
+    object[kMinVotersKey] = entry.min_voters;
+  }
+  return object;
 }
 
 boost::json::value ToJson(const HardState& state) {
@@ -99,7 +113,8 @@
   return {{"index", snapshot.index},
           {"term", snapshot.term},
           {"members", ToJson(snapshot.members)},
-          {"data", snapshot.data}};
+          {"data", snapshot.data},
+          {kMinVotersKey, snapshot.min_voters}};
 }
 
 boost::json::value ToJson(const Message& message) {
--- a/lib/Consensus/replica.cc
+++ b/lib/Consensus/replica.cc
@@ -6,6 +6,7 @@
 
 #include <boost/json/parse.hpp>
 
+#include "acaciahold/Consensus/group.h"
 #include "acaciahold/Support/check.h"
 #include "elections.h"
 #include "replica_state.h"
@@ -58,6 +59,7 @@
   Replica replica;
   replica.id = start.id;
   replica.instance = start.instance;
+  replica.tolerated_disk_losses = start.tolerated_disk_losses;
   replica.random.seed(start.seed);
   replica.hard_state = std::move(start.hard_state);
   replica.snapshot = std::move(start.snapshot);
@@ -175,6 +177,8 @@
     result.status = ProposeStatus::kBusy;
     return result;
   }
+  // Of the list before the change: that of an earlier version has no number.
+  replica.min_voters = MinVoters(replica);
   replica.members = std::move(members);
   AppendMembers(replica, result.output);
   SyncProgressWithMembers(replica, now);
@@ -239,6 +243,7 @@
   next.term = *TermAt(replica, replica.applied);
   next.data = std::move(data);
   next.members = replica.snapshot.members;
+  next.min_voters = replica.snapshot.min_voters;
   while (!replica.entries.empty() &&
          replica.entries.front().index <= next.index) {
     const auto& entry = replica.entries.front();
@@ -247,6 +252,7 @@
       AssertInvariant(members.has_value(),
                       "a member list in the log can be decoded");
       next.members = *members;
+      next.min_voters = entry.min_voters;
     }
     replica.entries.pop_front();
   }
--- a/lib/Consensus/replica_state.cc
+++ b/lib/Consensus/replica_state.cc
@@ -8,6 +8,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "acaciahold/Consensus/group.h"
 #include "acaciahold/Support/check.h"
 
 namespace acaciahold::consensus {
@@ -39,8 +40,12 @@
                        [](const Member& m) { return m.is_voter; });
 }
 
+size_t MajorityOf(size_t voters) {
+  return voters / 2 + 1;
+}
+
 size_t Majority(const Replica& replica) {
-  return CountVoters(replica) / 2 + 1;
+  return MajorityOf(CountVoters(replica));
 }
 
 bool CanChangeMembers(const Replica& replica) {
@@ -69,6 +74,7 @@
 void UpdateMembersFromLog(Replica& replica) {
   replica.members = replica.snapshot.members;
   replica.members_index = replica.snapshot.index;
+  replica.min_voters = replica.snapshot.min_voters;
   for (auto it = replica.entries.rbegin(); it != replica.entries.rend(); ++it) {
     if (it->kind != EntryKind::kMembers) {
       continue;
@@ -78,6 +84,7 @@
                     "a member list in the log can be decoded");
     replica.members = *members;
     replica.members_index = it->index;
+    replica.min_voters = it->min_voters;
     return;
   }
 }
@@ -113,6 +120,9 @@
                  Output& output) {
   LogEntry entry{LastIndex(replica) + 1, replica.hard_state.term, kind,
                  std::move(payload)};
+  if (kind == EntryKind::kMembers) {
+    entry.min_voters = replica.min_voters;
+  }
   replica.entries.push_back(entry);
   output.persist.append.push_back(std::move(entry));
 }
@@ -129,6 +139,7 @@
 }
 
 void AppendMembers(Replica& replica, Output& output) {
+  replica.min_voters = MinVoters(replica);
   AppendEntry(replica, EntryKind::kMembers,
               boost::json::serialize(ToJson(replica.members)), output);
   replica.members_index = LastIndex(replica);
--- a/lib/Consensus/replica_state.h
+++ b/lib/Consensus/replica_state.h
@@ -22,7 +22,8 @@
 // Returns the term of the last entry, or of the snapshot if the log is empty.
 Term LastTerm(const Replica& replica);
 
-size_t CountVoters(const Replica& replica);
+// Returns the smallest number that is more than half of `voters`.
+size_t MajorityOf(size_t voters);
 
 // Returns the smallest number of voters that is more than half of them.
 size_t Majority(const Replica& replica);
--- a/lib/Node/control_node.cc
+++ b/lib/Node/control_node.cc
@@ -44,6 +44,7 @@
   ReplicaSettings replica_settings;
   replica_settings.data_folder = settings.data_folder;
   replica_settings.endpoint = settings.link();
+  replica_settings.tolerated_disk_losses = settings.tolerated_disk_losses;
   if (settings.founds_group) {
     replica_settings.founders = SeedLinks(settings);
   }
--- a/lib/Node/node_metrics.cc
+++ b/lib/Node/node_metrics.cc
@@ -170,15 +170,15 @@
   families.Add(replica.commit);
   families.BeginFamily("acaciahold_members",
                        "Members of the group, by their vote", kGauge);
-  uint64_t voters = 0;
-  for (const auto& member : replica.members) {
-    voters += member.is_voter ? 1 : 0;
-  }
+  uint64_t voters = consensus::CountVoters(replica);
   families.Add(voters, "kind", "voter");
   families.Add(replica.members.size() - voters, "kind", "learner");
   families.BeginFamily("acaciahold_unresponsive_voters",
                        "Voters that do not reply to this leader", kGauge);
   families.Add(control.unresponsive_voters());
+  families.BeginFamily("acaciahold_min_voters",
+                       "Voters that the group keeps at least", kGauge);
+  families.Add(consensus::MinVoters(replica));
   families.BeginFamily("acaciahold_links",
                        "Links that other hosts have open here", kGauge);
   families.Add(control.CountPeers(true), "from", "control");
--- a/lib/Node/node_settings.cc
+++ b/lib/Node/node_settings.cc
@@ -18,6 +18,7 @@
 constexpr double kMaxLinkMbps = 1e6;
 constexpr UnsignedRange kPortRange{1, 65'535};
 constexpr UnsignedRange kIntervalMsRange{10, 600'000};
+constexpr UnsignedRange kDiskLossesRange{0, kMaxToleratedDiskLosses};
 constexpr UnsignedRange kLinesRange{0, 10'000};
 
 void ReadSeeds(FieldReader& reader, NodeSettings& settings) {
@@ -64,6 +65,11 @@
     if (founds != "true" && founds != "false") {
       reader.AddError("founds_group", "true or false");
     }
+    if (reader.Has("tolerated_disk_losses")) {
+      settings.tolerated_disk_losses = static_cast<uint32_t>(
+          reader.ReadUnsigned("tolerated_disk_losses", kDiskLossesRange)
+              .value_or(0));
+    }
   } else {
     reader.AddError("role", "entry or control");
   }
@@ -101,7 +107,7 @@
   root.CheckKeys(kRootKeys);
   NodeSettingsFile file;
   if (auto reader = root.ReadMapping("node")) {
-    constexpr std::array<std::string_view, 17> kKeys{"name",
+    constexpr std::array<std::string_view, 18> kKeys{"name",
                                                      "failure_domain",
                                                      "role",
                                                      "address",
@@ -112,6 +118,7 @@
                                                      "admin",
                                                      "data_folder",
                                                      "founds_group",
+                                                     "tolerated_disk_losses",
                                                      "announcement_interval_ms",
                                                      "grace_ms",
                                                      "link_mbps",
--- a/lib/Node/replica_driver.cc
+++ b/lib/Node/replica_driver.cc
@@ -107,6 +107,7 @@
   start.id = stored.replica_id;
   start.instance = stored.instance;
   start.seed = DrawRandomNumber();
+  start.tolerated_disk_losses = settings_.tolerated_disk_losses;
   start.hard_state = std::move(stored.hard_state);
   start.snapshot = std::move(stored.snapshot);
   start.entries = std::move(stored.entries);
@@ -129,6 +130,7 @@
     TryRestart();
   } else {
     ProcessOutput(consensus::OnTick(replica_, now));
+    ReportUnresponsiveVoters(now);
     ProposeMemberChange(now);
     if (is_leaving_) {
       ProcessOutput(consensus::HandOverLeadership(replica_, now));
@@ -144,14 +146,20 @@
   });
 }
 
-void ReplicaDriver::ProposeMemberChange(Instant now) {
+void ReplicaDriver::ReportUnresponsiveVoters(Instant now) {
   size_t unresponsive = consensus::CountUnresponsiveVoters(replica_, now);
-  if (unresponsive != unresponsive_voters_) {
-    unresponsive_voters_ = unresponsive;
-    LogEvent(
-        EventPriority::kNotable, "unresponsive_voters_changed",
-        {{"unresponsive", unresponsive}, {"members", replica_.members.size()}});
+  if (unresponsive == unresponsive_voters_) {
+    return;
   }
+  unresponsive_voters_ = unresponsive;
+  LogEvent(EventPriority::kNotable, "unresponsive_voters_changed",
+           {{"unresponsive", unresponsive},
+            {"members", replica_.members.size()},
+            {"voters", consensus::CountVoters(replica_)},
+            {"min_voters", consensus::MinVoters(replica_)}});
+}
+
+void ReplicaDriver::ProposeMemberChange(Instant now) {
   auto change = consensus::NextMemberChange(replica_, member_requests_, now);
   if (!change) {
     return;
@@ -163,7 +171,9 @@
              {{"reason", consensus::ReasonName(change->reason)},
               {"member", change->member},
               {"index", result.index},
-              {"unresponsive_voters", unresponsive}});
+              {"voters", consensus::CountVoters(replica_)},
+              {"min_voters", consensus::MinVoters(replica_)},
+              {"unresponsive_voters", unresponsive_voters_}});
   }
   ProcessOutput(std::move(result.output));
 }
--- a/test/end_to_end/command_line_test.cc
+++ b/test/end_to_end/command_line_test.cc
@@ -94,6 +94,24 @@
   BOOST_TEST(Run({"run", "--config", folder + "/none.yaml"}) == 2);
 }
 
+BOOST_FIXTURE_TEST_CASE(InvalidToleranceIsRejected, Fixture) {
+  auto host = WriteFile("host.yaml", kSettings);
+  BOOST_TEST(Run({"run", "--config", host, "--tolerated-disk-losses=2"}) == 2);
+  BOOST_TEST(Output().find("the field 'node'") != std::string::npos);
+  auto node = WriteFile(
+      "node.yaml",
+      "node: {name: c1, role: control, failure_domain: a, address: 127.0.0.1,"
+      " link_port: 1, seeds: [\"127.0.0.1:2\"], admin: \"127.0.0.1:2\","
+      " data_folder: /nowhere, announcement_interval_ms: 700,"
+      " grace_ms: 6000}\n");
+  for (const char* value : {"-1", "two", "1001"}) {
+    BOOST_TEST(Run({"run", "--config", node,
+                    std::string("--tolerated-disk-losses=") + value}) == 2);
+    BOOST_TEST(Output().find("'" + std::string(value) + "'") !=
+               std::string::npos);
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(RunRequiresAnInitializedDataFolder, Fixture) {
   std::string text = kSettings;
   text.replace(text.find("FOLDER"), 6, folder);
--- a/tools/acaciahold/main.cc
+++ b/tools/acaciahold/main.cc
@@ -1,6 +1,7 @@
 // The acaciahold command: parses the command line, runs a host or an operator's
 // command, and returns its exit code.
 
+#include <charconv>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -36,6 +37,10 @@
     "usage: acaciahold COMMAND [options]\n"
     "\n"
     "  run --config FILE            run a host until SIGTERM\n"
+    "      [--tolerated-disk-losses N]\n"
+    "                               goes before the field of the settings of "
+    "a\n"
+    "                               control host; ignored if empty\n"
     "  check --config FILE          check a settings file; the variable\n"
     "                               ACACIAHOLD_CONFIG may name it as well\n"
     "  init --config FILE [--join]  prepare a control host's data folder\n"
@@ -74,6 +79,7 @@
   std::string edit_id;
   std::string caller;
   std::string listener;
+  std::string tolerated_disk_losses;
   long at_ms = 0;
   long min_revision = 0;
   int replica_id = 0;
@@ -109,6 +115,7 @@
   char* edit_id = nullptr;
   char* caller = nullptr;
   char* listener = nullptr;
+  char* tolerated_disk_losses = nullptr;
   int json = 0;
   int join = 0;
   int no_wait = 0;
@@ -122,6 +129,8 @@
       {"edit-id", 0, POPT_ARG_STRING, &edit_id, 0, nullptr, nullptr},
       {"caller", 0, POPT_ARG_STRING, &caller, 0, nullptr, nullptr},
       {"listener", 0, POPT_ARG_STRING, &listener, 0, nullptr, nullptr},
+      {"tolerated-disk-losses", 0, POPT_ARG_STRING, &tolerated_disk_losses, 0,
+       nullptr, nullptr},
       {"at", 0, POPT_ARG_LONG, &command_line.at_ms, 0, nullptr, nullptr},
       {"min-revision", 0, POPT_ARG_LONG, &command_line.min_revision, 0, nullptr,
        nullptr},
@@ -155,6 +164,7 @@
   command_line.edit_id = TakeString(edit_id);
   command_line.caller = TakeString(caller);
   command_line.listener = TakeString(listener);
+  command_line.tolerated_disk_losses = TakeString(tolerated_disk_losses);
   command_line.is_json = json != 0;
   command_line.joins_group = join != 0;
   command_line.waits_for_rollout = no_wait == 0;
@@ -219,11 +229,30 @@
       });
 }
 
+// Reads the number into the settings. Returns whether it is valid.
+bool TakeDiskLosses(std::string_view text, node::NodeSettings& settings) {
+  uint32_t losses = 0;
+  auto [end, ec] =
+      std::from_chars(text.data(), text.data() + text.size(), losses);
+  if (ec != std::errc() || end != text.data() + text.size() ||
+      losses > node::kMaxToleratedDiskLosses) {
+    return false;
+  }
+  settings.tolerated_disk_losses = losses;
+  return true;
+}
+
 int RunNode(const CommandLine& command_line) {
   auto settings = LoadNodeSettings(command_line.config);
   if (!settings) {
     return op::kExitUsageError;
   }
+  const auto& losses = command_line.tolerated_disk_losses;
+  if (!losses.empty() && !TakeDiskLosses(losses, *settings)) {
+    return BadUsage("--tolerated-disk-losses: '" + losses +
+                    "' is no number from 0 to " +
+                    std::to_string(node::kMaxToleratedDiskLosses));
+  }
   return RunOrReportError(
       [&] { return platform::RunNode(*settings, command_line.config); });
 }
@@ -234,6 +263,10 @@
   if (node::IsNodeSettings(command_line.config)) {
     return RunNode(command_line);
   }
+  if (!command_line.tolerated_disk_losses.empty()) {
+    return BadUsage(
+        "--tolerated-disk-losses is for settings with the field 'node'");
+  }
   auto settings = LoadHostSettings(command_line.config);
   if (!settings) {
     return op::kExitUsageError;
--- a/unittests/Consensus/cluster.cc
+++ b/unittests/Consensus/cluster.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <utility>
 
 namespace acaciahold::consensus {
 namespace {
@@ -11,9 +12,10 @@
 constexpr double kLossProbability = 0.1;
 constexpr double kDuplicateProbability = 0.05;
 constexpr size_t kMaxInFlight = 60;
-constexpr int kConvergenceSteps = 600;
 constexpr size_t kCommandsPerSnapshot = 12;
+// No new host comes beyond this number, and no disk is lost beyond the other.
 constexpr size_t kMaxNodes = 12;
+constexpr size_t kMaxReplicas = 24;
 
 Endpoint EndpointOf(ReplicaId id) {
   return {id, 1};
@@ -51,12 +53,13 @@
 }
 
 Cluster::Node* Cluster::FindNode(ReplicaId id) {
-  for (auto& node : nodes_) {
-    if (node.id == id) {
-      return &node;
-    }
-  }
-  return nullptr;
+  return const_cast<Node*>(std::as_const(*this).FindNode(id));
+}
+
+const Cluster::Node* Cluster::FindNode(ReplicaId id) const {
+  auto it = std::find_if(nodes_.begin(), nodes_.end(),
+                         [&](const Node& node) { return node.id == id; });
+  return it == nodes_.end() ? nullptr : &*it;
 }
 
 bool Cluster::IsPartitioned(ReplicaId a, ReplicaId b) const {
@@ -66,6 +69,9 @@
 void Cluster::StartNode(Node& node) {
   auto start = node.disk.open();
   start.seed = random_();
+  if (options_.is_tolerance_known) {
+    start.tolerated_disk_losses = options_.max_lost_disks;
+  }
   node.applied_index = start.snapshot.index;
   node.replica = StartReplica(std::move(start), now_);
   ++node.incarnation;
@@ -228,45 +234,81 @@
   }
 }
 
-// Returns whether the newest leader has at least three voters, and each still
-// has the disk that it had.
-bool Cluster::AreVotersPresent() const {
-  const Replica* leader = nullptr;
-  for (const auto& node : nodes_) {
-    bool is_newest =
-        node.replica && node.replica->role == Role::kLeader &&
-        (!leader || node.replica->hard_state.term > leader->hard_state.term);
-    leader = is_newest ? &*node.replica : leader;
+const Cluster::Node& Cluster::LastSuccessor(const Node& node) const {
+  const Node* it = &node;
+  while (it->successor != 0) {
+    it = FindNode(it->successor);
   }
-  if (!leader || leader->members_index > leader->commit) {
-    return false;
+  return *it;
+}
+
+// Notes which lost replicas have been replaced, by the committed members of the
+// newest leader.
+void Cluster::UpdateLostDisks() {
+  const auto* leader = FindLeader();
+  if (!leader || leader->replica->members_index > leader->replica->commit) {
+    return;
   }
-  size_t present = 0;
-  for (const auto& member : leader->members) {
-    auto it = std::find_if(nodes_.begin(), nodes_.end(), [&](const Node& node) {
-      return node.id == member.id;
-    });
-    bool is_present = it != nodes_.end() && !it->is_gone;
-    if (!is_present || !member.is_voter) {
-      return false;
+  is_formed_ = true;
+  const auto& members = leader->replica->members;
+  for (auto& node : nodes_) {
+    bool is_counted =
+        std::any_of(members.begin(), members.end(),
+                    [&](const Member& m) { return m.id == node.id; });
+    if (node.has_lost_disk && !is_counted &&
+        IsVoter(*leader->replica, LastSuccessor(node).id)) {
+      node.is_replaced = true;
     }
-    ++present;
   }
-  return present >= kMinVoters;
 }
 
-// A host loses its disk and comes back with an empty one: as a new replica at
-// the old endpoint.
+std::set<Endpoint> Cluster::HostsWithLostDisks() const {
+  std::set<Endpoint> hosts;
+  for (const auto& node : nodes_) {
+    if (node.has_lost_disk && !node.is_replaced) {
+      hosts.insert(node.endpoint);
+    }
+  }
+  return hosts;
+}
+
+// Returns whether the host may lose its disk now. A host that has lost one may
+// lose the next one, too.
+bool Cluster::MayLoseDisk(const Node& node) const {
+  auto hosts = HostsWithLostDisks();
+  hosts.insert(node.endpoint);
+  return is_formed_ && !node.is_gone && hosts.size() <= options_.max_lost_disks;
+}
+
+// A host loses its disk and comes back with an empty one, as a new replica at
+// the old endpoint; or it is gone for good, and an empty host comes in its
+// place at another.
 void Cluster::ReplaceDisk(size_t position) {
   CrashNode(nodes_[position]);
-  nodes_[position].is_gone = true;
-  nodes_[position].has_lost_disk = true;
   auto node = MakeNode(static_cast<ReplicaId>(nodes_.size() + 1), {});
-  node.endpoint = nodes_[position].endpoint;
+  if (RandomlyTrue(0.7)) {
+    node.endpoint = nodes_[position].endpoint;
+  }
   node.restart_at = now_ + std::chrono::milliseconds(300);
+  nodes_[position].is_gone = true;
+  nodes_[position].has_lost_disk = true;
+  nodes_[position].successor = node.id;
   nodes_.push_back(std::move(node));
 }
 
+// Some hosts lose power, and get it back one after the other.
+void Cluster::LosePower() {
+  constexpr uint64_t kMaxTimeMs = 5'000;
+  double share = std::uniform_real_distribution<double>(0.1, 0.7)(random_);
+  for (auto& node : nodes_) {
+    if (node.is_gone || !RandomlyTrue(share)) {
+      continue;
+    }
+    CrashNode(node);
+    node.restart_at = now_ + std::chrono::milliseconds(random_() % kMaxTimeMs);
+  }
+}
+
 // Hosts without a leader ask to join, hosts that leave go on with it, and each
 // leader decides on its members. New hosts come, and hosts are told to stop.
 void Cluster::RunGroupDecisions() {
@@ -306,9 +348,10 @@
   if (node.is_gone && !node.has_lost_disk && RandomlyTrue(0.01)) {
     node.is_gone = false;
   }
-  bool may_lose_disk = options_.lost_disks && nodes_.size() < kMaxNodes &&
-                       RandomlyTrue(0.01) && AreVotersPresent();
-  if (may_lose_disk && !node.is_gone) {
+  UpdateLostDisks();
+  bool may_lose_disk = options_.lost_disks && nodes_.size() < kMaxReplicas &&
+                       RandomlyTrue(0.01) && MayLoseDisk(node);
+  if (may_lose_disk) {
     ReplaceDisk(&node - nodes_.data());
   }
 }
@@ -359,6 +402,9 @@
   if (options_.crashes && RandomlyTrue(0.005)) {
     CrashNode(nodes_[random_() % nodes_.size()]);
   }
+  if (options_.power_losses && RandomlyTrue(0.002)) {
+    LosePower();
+  }
   bool may_lose_disk =
       options_.lost_disks && !options_.group_decisions && RandomlyTrue(0.002);
   if (may_lose_disk && nodes_.front().instance == 1) {
@@ -374,8 +420,9 @@
   partition_ids_.clear();
   for (auto& node : nodes_) {
     node.disk.stop_faults();
+    node.restart_at = std::min(node.restart_at, now_);
   }
-  for (int i = 0; i < kConvergenceSteps; ++i) {
+  for (int i = 0; i < options_.convergence_steps; ++i) {
     Step();
   }
 }
--- a/unittests/Consensus/cluster.h
+++ b/unittests/Consensus/cluster.h
@@ -28,9 +28,18 @@
   // Members are added and removed at random.
   bool member_changes = false;
   // Hosts join and leave, and the leader decides on the members as it does in a
-  // control host. With lost_disks, hosts also come back with an empty disk, one
-  // after the other: the next one once the last one is a voter.
+  // control host. With lost_disks, hosts also come back with an empty disk, or
+  // are replaced by empty ones at another address.
   bool group_decisions = false;
+  // With lost_disks and group_decisions, how many hosts may be without their
+  // disk at the same time, until the replica on the new disk has a vote.
+  size_t max_lost_disks = 1;
+  // Whether the replicas are told max_lost_disks.
+  bool is_tolerance_known = false;
+  // Several hosts at once lose power for seconds, whatever else has been lost.
+  bool power_losses = false;
+  // Steps without faults in which the group must converge; 9.5 ms on average.
+  int convergence_steps = 600;
   MakeClusterDisk make_disk = MakeMemoryDisk;
 };
 
@@ -63,6 +72,9 @@
     std::optional<Leave> leave;  // Set while the host leaves the group.
     bool is_gone = false;        // The host has left for good.
     bool has_lost_disk = false;  // The replica is gone, and never comes back.
+    ReplicaId successor = 0;     // On the new disk.
+    // Whether the successor, or its own, has a vote in place of this one.
+    bool is_replaced = false;
   };
 
   bool RandomlyTrue(double p);
@@ -70,8 +82,12 @@
   void Step();
   void RunGroupDecisions();
   void ContinueLeave(Node& node);
-  bool AreVotersPresent() const;
+  void UpdateLostDisks();
+  const Node& LastSuccessor(const Node& node) const;
+  std::set<Endpoint> HostsWithLostDisks() const;
+  bool MayLoseDisk(const Node& node) const;
   void ReplaceDisk(size_t position);
+  void LosePower();
   Node* FindLeader();
   void Deliver(size_t position);
   void ProcessOutput(Node& node, Output output);
@@ -82,6 +98,7 @@
   void ChangeMembers();
   void Partition();
   Node* FindNode(ReplicaId id);
+  const Node* FindNode(ReplicaId id) const;
   bool IsPartitioned(ReplicaId a, ReplicaId b) const;
 
   std::mt19937_64 random_;
@@ -92,6 +109,7 @@
   // Replicas on one side of the network partition; empty if there is none.
   std::set<ReplicaId> partition_ids_;
   bool faults_stopped_ = false;
+  bool is_formed_ = false;  // Whether a leader has been elected.
   uint64_t next_command_ = 1;
   uint64_t next_instance_ = 1;
   uint64_t acknowledged_count_ = 0;
--- a/unittests/Consensus/group_test.cc
+++ b/unittests/Consensus/group_test.cc
@@ -3,7 +3,10 @@
 #include "acaciahold/Consensus/group.h"
 
 #include <algorithm>
+#include <optional>
+#include <vector>
 
+#include <boost/json/value.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "test_leader.h"
@@ -233,6 +236,168 @@
   BOOST_TEST(VoterCount(leader) == 4U);
 }
 
+namespace {
+
+// Returns a leader of a new group whose voters have all replied.
+Replica MakeWholeGroup(ReplicaId voters, std::optional<uint32_t> tolerated) {
+  auto leader = MakeLeader(voters);
+  leader.tolerated_disk_losses = tolerated;
+  for (ReplicaId id = 2; id <= voters; ++id) {
+    ReplyToAppend(leader, id, 0, kStart);
+  }
+  return leader;
+}
+
+}  // namespace
+
+// Groups of eight and of six hosts that bear two lost disks; whoever isn't
+// named loses power. Guards against voters that are removed until two disks are
+// a majority of those that are left.
+BOOST_AUTO_TEST_CASE(SilentVotersAreKeptForDisksThatMayBeLost) {
+  struct Case {
+    ReplicaId voters;
+    std::vector<ReplicaId> responding;
+    std::optional<uint32_t> tolerated;
+    size_t voters_left;
+  };
+  const std::vector<Case> cases{{8, {2, 3, 4, 5, 6}, 2, 6},
+                                {8, {2, 3, 4, 5}, 2, 5},
+                                {8, {2, 3, 4}, 2, 5},
+                                {8, {2, 3}, 2, 8},  // No majority.
+                                {8, {2, 3, 4, 5, 6}, std::nullopt, 7},
+                                {6, {2, 3, 4}, 2, 5},
+                                {6, {2, 3, 4}, std::nullopt, 5},
+                                {6, {2, 3, 4}, 1, 4},
+                                {4, {2, 3}, 1, 3},
+                                {4, {2, 3}, std::nullopt, 3}};
+  for (const auto& it : cases) {
+    auto leader = MakeWholeGroup(it.voters, it.tolerated);
+    RunLeader(leader, it.responding, 99, Instant::max(),
+              kStart + milliseconds(6'000));
+    BOOST_TEST(VoterCount(leader) == it.voters_left,
+               it.voters << " voters: " << VoterCount(leader) << " left");
+  }
+}
+
+// Two domains of eight hosts lose power one after the other. Four of seven
+// voters go on, and keep three that are silent.
+BOOST_AUTO_TEST_CASE(SecondDomainWithoutPowerLeavesVotersOfTheFirst) {
+  auto leader = MakeWholeGroup(8, std::nullopt);
+  RunLeader(leader, {2, 3, 4, 5, 6}, 99, Instant::max(),
+            kStart + milliseconds(4'000));
+  BOOST_TEST(VoterCount(leader) == 7U);
+  MemberRequests requests;
+  for (Instant now = kStart + milliseconds(4'200);
+       now < kStart + milliseconds(9'000); now += kHeartbeatInterval) {
+    OnTick(leader, now);
+    for (ReplicaId id : {2, 3, 4}) {
+      ReplyToAppend(leader, id, 0, now);
+    }
+    BOOST_TEST(!NextMemberChange(leader, requests, now).has_value());
+  }
+  BOOST_CHECK(leader.role == Role::kLeader);
+}
+
+// Guards against a number that only the leader of the moment knows: it goes
+// with the log and the snapshot. That of an earlier version doesn't have it.
+BOOST_AUTO_TEST_CASE(MinVotersOutlivesRestartsAndSnapshots) {
+  auto leader = MakeWholeGroup(5, std::nullopt);
+  BOOST_TEST(MinVoters(leader) == 5U);
+  // Voter 5 lost its disk, and joins again.
+  MemberRequests requests;
+  OnJoinRequest(requests, {9, 909, EndpointOf(5)}, kStart);
+  auto change = NextMemberChange(leader, requests, kStart);
+  BOOST_REQUIRE(change.has_value());
+  BOOST_TEST(change->member == 5U);
+  ProposeMembers(leader, change->members, kStart);
+  for (ReplicaId id : {2, 3, 4}) {
+    ReplyToAppend(leader, id, 0, kStart);
+  }
+  StartState start;
+  start.id = 2;
+  start.instance = 102;
+  start.snapshot = leader.snapshot;
+  start.entries.assign(leader.entries.begin(), leader.entries.end());
+  BOOST_TEST(CountVoters(StartReplica(start, kStart)) == 4U);
+  BOOST_TEST(MinVoters(StartReplica(start, kStart)) == 5U);
+  Compact(leader, "table");
+  start.snapshot = leader.snapshot;
+  start.entries.clear();
+  BOOST_TEST(CountVoters(StartReplica(start, kStart)) == 4U);
+  BOOST_TEST(MinVoters(StartReplica(start, kStart)) == 5U);
+  start.snapshot.min_voters = 0;  // Of an earlier version.
+  BOOST_TEST(MinVoters(StartReplica(start, kStart)) == 3U);
+  start.tolerated_disk_losses = 2;
+  BOOST_TEST(MinVoters(StartReplica(start, kStart)) == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(MinVotersIsEncodedAndMayBeMissing) {
+  LogEntry entry{7, 2, EntryKind::kMembers, "[]", 5};
+  auto json = ToJson(entry);
+  BOOST_CHECK(EntryFromJson(json).value() == entry);
+  json.as_object().erase("min_voters");
+  entry.min_voters = 0;
+  BOOST_CHECK(EntryFromJson(json).value() == entry);
+  Snapshot snapshot{7, 2, {{1, EndpointOf(1), true, 101}}, "table", 5};
+  json = ToJson(snapshot);
+  BOOST_CHECK(SnapshotFromJson(json).value() == snapshot);
+  json.as_object().erase("min_voters");
+  snapshot.min_voters = 0;
+  BOOST_CHECK(SnapshotFromJson(json).value() == snapshot);
+}
+
+// Guards against a silent voter that is removed since another one, whose disk
+// is lost, has made the number of voters even.
+BOOST_AUTO_TEST_CASE(SilentVoterIsKeptWhileAnotherLostItsDisk) {
+  for (std::optional<uint32_t> tolerated :
+       {std::optional<uint32_t>(), std::optional<uint32_t>(2)}) {
+    auto leader = MakeWholeGroup(5, tolerated);
+    MemberRequests requests;
+    OnJoinRequest(requests, {9, 909, EndpointOf(5)}, kStart);
+    auto change = NextMemberChange(leader, requests, kStart);
+    BOOST_REQUIRE(change.has_value());
+    ProposeMembers(leader, change->members, kStart);
+    RunLeader(leader, {2, 3}, 99, Instant::max(), kStart + milliseconds(4'000));
+    BOOST_TEST(IsVoter(leader, 4));
+    BOOST_TEST(VoterCount(leader) == 4U);
+  }
+}
+
+// Of a voter whose disk is lost and one that is silent, the first one goes: the
+// other may come back.
+BOOST_AUTO_TEST_CASE(VoterWithoutDiskIsRemovedBeforeSilentOne) {
+  auto leader = MakeWholeGroup(6, 2);
+  Instant later = kStart + kElectionTimeoutMax;
+  for (ReplicaId id : {3, 4, 5}) {
+    ReplyToAppend(leader, id, 0, later);
+  }
+  MemberRequests requests;
+  OnJoinRequest(requests, {9, 909, EndpointOf(6)}, later);
+  auto change = NextMemberChange(leader, requests, later);
+  BOOST_REQUIRE(change.has_value());
+  BOOST_TEST(change->member == 6U);
+  BOOST_TEST(ReasonName(change->reason) == "superseded");
+}
+
+// Guards against a full group that can't replace a lost member, since it keeps
+// it until the successor has its vote.
+BOOST_AUTO_TEST_CASE(FullGroupReplacesLostMember) {
+  for (std::optional<uint32_t> tolerated :
+       {std::optional<uint32_t>(), std::optional<uint32_t>(4),
+        std::optional<uint32_t>(20)}) {
+    auto leader = MakeWholeGroup(kMaxMembers, tolerated);
+    std::vector<ReplicaId> responding{2, 3, 4, 5, 6, 7, 8};
+    RunLeader(leader, responding, 10, kStart, kStart + milliseconds(4'000));
+    BOOST_TEST(IsVoter(leader, 10));
+    BOOST_TEST(!IsVoter(leader, 9));
+    BOOST_TEST(VoterCount(leader) == kMaxMembers);
+    MemberRequests requests;
+    Instant end = kStart + milliseconds(4'000);
+    OnJoinRequest(requests, {11, 911, EndpointOf(11)}, end);
+    BOOST_TEST(!NextMemberChange(leader, requests, end).has_value());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(OnlyLeaderChangesMembers) {
   auto replica = MakeLeader(3);
   replica.role = Role::kFollower;
--- a/unittests/Consensus/leave_test.cc
+++ b/unittests/Consensus/leave_test.cc
@@ -3,6 +3,8 @@
 #include "acaciahold/Consensus/leave.h"
 
 #include <algorithm>
+#include <optional>
+#include <vector>
 
 #include <boost/test/unit_test.hpp>
 
@@ -75,6 +77,34 @@
   BOOST_CHECK(AnswerLeaveRequest(leader, 3, kStart) == LeaveAnswer::kStays);
 }
 
+// Guards against stops in turn that shrink a group whose remaining voters then
+// don't bear the disks that may be lost.
+BOOST_AUTO_TEST_CASE(LeavingVotersLeaveEnoughForDisksThatMayBeLost) {
+  struct Case {
+    ReplicaId voters;
+    std::optional<uint32_t> tolerated;
+    size_t voters_left;
+  };
+  const std::vector<Case> cases{{8, 2, 5}, {8, std::nullopt, 7}, {6, 2, 5},
+                                {6, 1, 3}, {5, std::nullopt, 5}, {4, 1, 3}};
+  for (const auto& it : cases) {
+    auto leader = MakeLeader(it.voters);
+    leader.tolerated_disk_losses = it.tolerated;
+    ReplyOfAll(leader, kStart);
+    MemberRequests requests;
+    for (ReplicaId id = 2; id <= it.voters; ++id) {
+      OnLeaveRequest(requests, id, kStart);
+      if (auto change = NextMemberChange(leader, requests, kStart)) {
+        ProposeMembers(leader, change->members, kStart);
+        ReplyOfAll(leader, kStart);
+      }
+    }
+    BOOST_TEST(CountVoters(leader) == it.voters_left);
+    BOOST_CHECK(AnswerLeaveRequest(leader, it.voters, kStart) ==
+                LeaveAnswer::kStays);
+  }
+}
+
 // A learner gets its vote before the voter that it replaces may leave. Guards
 // against a removal from three that needs the votes of both others, and against
 // hosts that leave one after the other until a single disk is left.
--- a/unittests/Node/messages_test.cc
+++ b/unittests/Node/messages_test.cc
@@ -138,11 +138,27 @@
   BOOST_REQUIRE(file.has_value());
   BOOST_TEST(file->errors.empty());
   BOOST_TEST(file->settings.founds_group);
+  BOOST_TEST(!file->settings.tolerated_disk_losses.has_value());
   auto links = SeedLinks(file->settings);
   BOOST_REQUIRE(links.size() == 2U);
   BOOST_TEST(FormatEndpoint(links[1]) == "10.0.0.2:7000");
 }
 
+BOOST_AUTO_TEST_CASE(ToleratedDiskLossesAreReadAndChecked) {
+  std::string field = "  tolerated_disk_losses: ";
+  auto file = ReadNodeSettings(WriteSettings(kControl + field + "2\n"));
+  BOOST_REQUIRE(file.has_value());
+  BOOST_TEST(file->errors.empty());
+  BOOST_TEST(file->settings.tolerated_disk_losses.value_or(0) == 2U);
+  for (const char* value : {"-1", "1001", "two"}) {
+    file = ReadNodeSettings(WriteSettings(kControl + field + value + "\n"));
+    BOOST_REQUIRE(file.has_value());
+    BOOST_REQUIRE(file->errors.size() == 1U);
+    BOOST_TEST(file->errors[0].field == "node.tolerated_disk_losses");
+    BOOST_TEST(file->errors[0].value == value);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(InvalidSettingsReportFieldAndValue) {
   std::string text = kControl;
   text.replace(text.find("link_port: 7000"), 15, "link_port: 70000");
--- a/unittests/Node/replica_driver_test.cc
+++ b/unittests/Node/replica_driver_test.cc
@@ -47,7 +47,7 @@
     handlers.load_notes = [](auto) {};
     handlers.on_member_change = [] {};
     auto opened = ReplicaDriver::Open(
-        io, {folder, kOwnEndpoint, {kOwnEndpoint}}, handlers);
+        io, {folder, kOwnEndpoint, {kOwnEndpoint}, std::nullopt}, handlers);
     BOOST_REQUIRE(opened);
     driver = std::move(*opened);
     driver->Start();
--- a/unittests/Node/replica_group.cc
+++ b/unittests/Node/replica_group.cc
@@ -22,12 +22,15 @@
 
 }  // namespace
 
-ReplicaGroup::ReplicaGroup(std::string_view name, size_t founders)
+ReplicaGroup::ReplicaGroup(std::string_view name,
+                           size_t founders,
+                           std::optional<uint32_t> tolerated_disk_losses)
     : join_timer_(io_),
       change_timer_(io_),
       read_timer_(io_),
       folder_(std::filesystem::temp_directory_path() /
-              (std::string(name) + "-" + std::to_string(::getpid()))) {
+              (std::string(name) + "-" + std::to_string(::getpid()))),
+      tolerated_disk_losses_(tolerated_disk_losses) {
   std::filesystem::remove_all(folder_);
   for (size_t i = 0; i < founders; ++i) {
     AddHostRecord(true);
@@ -72,7 +75,8 @@
   handlers.snapshot = [&host] { return host.applied; };
   handlers.load_notes = [](auto) {};
   handlers.on_member_change = [] {};
-  ReplicaSettings settings{host.folder, host.endpoint, {}};
+  ReplicaSettings settings{
+      host.folder, host.endpoint, {}, tolerated_disk_losses_};
   if (host.is_founder) {
     settings.founders = founders_;
   }
@@ -86,6 +90,12 @@
   host.driver.reset();
 }
 
+void ReplicaGroup::LoseDisk(Host& host) {
+  std::filesystem::remove_all(host.folder);
+  host.is_founder = false;
+  host.applied.clear();
+}
+
 void ReplicaGroup::Deliver(const Host& from,
                            const consensus::Message& message) {
   if (from.is_cut_off) {
--- a/unittests/Node/replica_group.h
+++ b/unittests/Node/replica_group.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -31,8 +32,11 @@
   };
 
   // Starts `founders` hosts that found the group. `name` names the folder of
-  // the group, which is removed at the end.
-  ReplicaGroup(std::string_view name, size_t founders);
+  // the group, which is removed at the end. All hosts have the tolerance in
+  // their settings.
+  ReplicaGroup(std::string_view name,
+               size_t founders,
+               std::optional<uint32_t> tolerated_disk_losses = std::nullopt);
   ~ReplicaGroup();
   ReplicaGroup(const ReplicaGroup&) = delete;
   ReplicaGroup& operator=(const ReplicaGroup&) = delete;
@@ -43,6 +47,8 @@
   void StartHost(Host& host);
   // Ends the host's process at once. Its folder is kept.
   static void KillHost(Host& host);
+  // Removes the folder of a host that is down.
+  static void LoseDisk(Host& host);
 
   void RunFor(std::chrono::milliseconds time);
   // Runs until the condition holds. Returns whether it did within the time.
@@ -80,6 +86,7 @@
   std::chrono::milliseconds change_interval_{0};
   std::chrono::milliseconds read_interval_{0};
   std::string folder_;
+  std::optional<uint32_t> tolerated_disk_losses_;
   std::vector<Endpoint> founders_;
   std::list<Host> hosts_;
   uint64_t next_change_ = 1;
--- a/unittests/Node/replica_group_test.cc
+++ b/unittests/Node/replica_group_test.cc
@@ -16,6 +16,8 @@
 constexpr seconds kStartTime{5};
 // A further host may be lost this long after the one before it was replaced.
 constexpr seconds kTimeBetweenLosses{4};
+// All hosts are voters again this long after they are back.
+constexpr seconds kRecoveryTime{12};
 constexpr milliseconds kStormInterval{80};
 constexpr milliseconds kReadStormInterval{20};
 
@@ -54,8 +56,65 @@
   BOOST_TEST(group.CanChange(kStartTime));
 }
 
+// Domains of two hosts lose power one after the other, and then the leader and
+// another host of those that still run lose their disks. All come back.
+void CheckLostDisksAfterPowerLosses(ReplicaGroup& group,
+                                    size_t hosts,
+                                    size_t domains) {
+  RequireLeader(group);
+  while (group.hosts().size() < hosts) {
+    group.AddHost();
+  }
+  std::vector<const ReplicaGroup::Host*> all;
+  for (const auto& host : group.hosts()) {
+    all.push_back(&host);
+  }
+  BOOST_REQUIRE(
+      group.RunUntil([&] { return group.HasVoters(all); }, kTimeBetweenLosses));
+  for (size_t i = 0; i < domains; ++i) {
+    ReplicaGroup::KillHost(OtherThanLeader(group));
+    ReplicaGroup::KillHost(OtherThanLeader(group));
+    group.RunFor(kTimeBetweenLosses);
+  }
+  // The service may stop before the disks are lost, but here it doesn't.
+  BOOST_REQUIRE(group.CanChange(kStartTime));
+  auto acknowledged = group.Leader()->applied;
+  for (auto* host : {group.Leader(), &OtherThanLeader(group)}) {
+    ReplicaGroup::KillHost(*host);
+    ReplicaGroup::LoseDisk(*host);
+  }
+  for (auto& host : group.hosts()) {
+    if (!host.driver) {
+      group.StartHost(host);
+    }
+  }
+  BOOST_REQUIRE(
+      group.RunUntil([&] { return group.Leader() != nullptr; }, kRecoveryTime));
+  auto has_applied = [&](const ReplicaGroup::Host& host) {
+    return host.applied == acknowledged;
+  };
+  BOOST_TEST(group.RunUntil([&] { return has_applied(*group.Leader()); },
+                            kTimeBetweenLosses));
+  BOOST_TEST(group.CanChange(kStartTime));
+  BOOST_TEST(
+      group.RunUntil([&] { return group.HasVoters(all); }, kRecoveryTime));
+}
+
 }  // namespace
 
+// Guards against a group that two disks end for good, although it bears their
+// loss: silent voters had been removed until the two were half of those left.
+BOOST_AUTO_TEST_CASE(TwoDisksMayBeLostAfterTwoDomainsLostPower) {
+  ReplicaGroup group("acaciahold-two-domains", 3);
+  CheckLostDisksAfterPowerLosses(group, 8, 2);
+}
+
+// The same where the settings say how many disks may be lost.
+BOOST_AUTO_TEST_CASE(TwoDisksMayBeLostAfterADomainOfThreeLostPower) {
+  ReplicaGroup group("acaciahold-domain-of-three", 3, 2);
+  CheckLostDisksAfterPowerLosses(group, 6, 1);
+}
+
 // Guards against changes that keep the leader from repairing its group: the
 // next loss then took the majority for good.
 BOOST_AUTO_TEST_CASE(LostHostIsReplacedDuringStormOfChanges) {
--- a/unittests/Storage/group_model_test.cc
+++ b/unittests/Storage/group_model_test.cc
@@ -106,12 +106,14 @@
   return disk;
 }
 
-void CheckGroups(uint64_t seed, int groups, const ClusterOptions& options) {
-  constexpr int kSteps = 1'500;
+void CheckGroups(uint64_t seed,
+                 int groups,
+                 const ClusterOptions& options,
+                 int steps = 1'500) {
   uint64_t acknowledged_count = 0;
   CheckProperty(seed, groups, [&](uint64_t case_seed) {
     Cluster cluster(case_seed, options);
-    cluster.Run(kSteps);
+    cluster.Run(steps);
     RC_ASSERT(CheckHistory(cluster.history()) == "");
     RC_ASSERT(cluster.HasConverged());
     acknowledged_count += cluster.acknowledged_count();
@@ -149,4 +151,35 @@
                .make_disk = MakeFaultyDisk});
 }
 
+// Losses of power that overlap, beside as many lost disks as the settings allow
+// or, where they don't say it, as the group bears. Guards against voters that
+// are removed while they are without power until the lost disks take the
+// majority of those that are left.
+BOOST_AUTO_TEST_CASE(GroupOutlivesOverlappingLosses) {
+  constexpr int kSteps = 3'000;
+  constexpr int kRecoverySteps = 1'200;  // 11.4 s.
+  auto check = [&](int replicas, size_t lost_disks, bool is_known) {
+    BOOST_TEST_CONTEXT(replicas << " hosts that bear " << lost_disks
+                                << " lost disks, known: " << is_known) {
+      CheckGroups(34, 150,
+                  {.replicas = replicas,
+                   .crashes = true,
+                   .lost_disks = true,
+                   .group_decisions = true,
+                   .max_lost_disks = lost_disks,
+                   .is_tolerance_known = is_known,
+                   .power_losses = true,
+                   .convergence_steps = kRecoverySteps,
+                   .make_disk = MakeFaultyDisk},
+                  kSteps);
+    }
+  };
+  for (int replicas = 3; replicas <= 9; ++replicas) {
+    check(replicas, static_cast<size_t>(replicas - 1) / 2, false);
+    check(replicas, static_cast<size_t>(replicas - 1) / 2, true);
+  }
+  check(5, 1, true);
+  check(8, 2, true);
+}
+
 }  // namespace acaciahold::storage
