Promote a learner before the voter that it replaces is removed

What callers would see: of three control hosts one is without power, an empty one has joined, and the disk of another is lost while the first is being replaced. All come back, and every read and change gets 503 for good, although one disk was lost and one may be.

A silent voter of as many as must be kept was removed once a learner could replace it, and the learner promoted after that. In between there was one voter less, and the removed one, whose disk was whole, had no vote.

Change: CanPromote. At MinVoters, a learner gets its vote beside a voter that counts as lost, if that can be committed; below it, with an even number, also beside one that has just become silent, since the majority stays the same. Above it, silent voters are removed first, as before. The leader decides on its members after each message, so that the removal follows within a message round trip and not at the next tick: the tests with a bound on the replacement drive the leader in the same way, their bounds are unchanged.

Why it works: 2f + 2 voters of which one is silent bear f lost disks if its disk comes back, and f - 1 others if it doesn't. Until the removal is committed no fewer hosts may be lost than with the other order.

--- a/include/acaciahold/Consensus/group.h
+++ b/include/acaciahold/Consensus/group.h
@@ -38,9 +38,9 @@
 // silent voter still raises the majority: of four voters, the loss of one more
 // would stop the group.
 inline constexpr Duration kSpareVoterTimeout = kElectionTimeoutMin;
-// The same for a voter of a smaller group that a responsive learner can
-// replace. Shorter than the time after which the next voter may be lost, since
-// the learner must be a voter by then.
+// When a voter of a smaller group counts as lost, so that a learner gets a vote
+// in its place. Shorter than the time after which the next voter may be lost,
+// since the learner must be a voter by then.
 inline constexpr Duration kReplaceTimeout = kElectionTimeoutMax;
 // Replaces kReplaceTimeout for a voter that has not replied to this leader
 // since its election: such a voter was lost before the election. The time of
@@ -85,16 +85,18 @@
 // its vote.
 size_t MinVoters(const Replica& replica);
 
-// Returns whether the group can do without the member: it has no vote, there
-// are more than MinVoters, or a responsive learner can replace it.
-bool CanSpare(const Replica& replica, const Member& member, Instant now);
+// Returns whether the group can do without the member: it has no vote, or there
+// are more than MinVoters.
+bool CanSpare(const Replica& replica, const Member& member);
 
-// Returns whether the member may leave: it has no vote, or there are more than
-// MinVoters. A learner that could replace it is promoted first. The removal of
-// one of three would need the votes of both others; if one of them were lost
-// before it is committed, nobody could be elected any more, even if the member
-// came back.
-bool MayLeave(const Replica& replica, const Member& member);
+// Returns whether a responsive learner could replace a voter.
+bool HasResponsiveLearner(const Replica& replica, Instant now);
+
+// Returns whether a learner that has caught up may get its vote now. In general
+// all voters must be responsive, since another voter may raise the majority.
+// While the group has no more than MinVoters, a learner gets its vote before
+// the voter that it replaces is removed.
+bool CanPromote(const Replica& replica, Instant now);
 
 // In the order in which members are removed: one that is gone for good goes
 // before one that may come back, and both before one that is still there.
@@ -114,7 +116,8 @@
 };
 
 // Returns the change that the leader should propose next. Returns nullopt if no
-// change is due or this replica is not the leader. Drops expired requests.
+// change is due or this replica is not the leader. Drops expired requests. Call
+// after each event, since a member may have become one to spare.
 std::optional<MemberChange> NextMemberChange(const Replica& replica,
                                              MemberRequests& member_requests,
                                              Instant now);
--- a/lib/Consensus/group.cc
+++ b/lib/Consensus/group.cc
@@ -91,14 +91,6 @@
          });
 }
 
-// Returns whether a responsive learner could replace a voter.
-bool HasResponsiveLearner(const Replica& replica, Instant now) {
-  return std::any_of(replica.members.begin(), replica.members.end(),
-                     [&](const Member& m) {
-                       return !m.is_voter && IsResponsive(replica, m, now);
-                     });
-}
-
 // Returns how long the member may stay without a reply before it counts as
 // lost.
 Duration LossTimeout(const Replica& replica, const Member& member) {
@@ -118,6 +110,16 @@
          LastReplyAt(replica, member, now) + LossTimeout(replica, member);
 }
 
+// Returns whether the voter has replied to this leader within
+// kElectionTimeoutMax. A voter that has not replied since the election may have
+// been lost before it.
+bool IsSettled(const Replica& replica, const Member& voter, Instant now) {
+  auto it = replica.progress.find(voter.id);
+  return voter.id == replica.id ||
+         (it != replica.progress.end() && it->second.has_replied &&
+          IsResponsive(replica, voter, now));
+}
+
 // Returns whether the member should be removed for this reason.
 bool IsToBeRemoved(const Replica& replica,
                    const MemberRequests& member_requests,
@@ -131,9 +133,9 @@
     case MemberChangeReason::kSuperseded:
       return IsSuperseded(replica, member_requests, member);
     case MemberChangeReason::kUnresponsive:
-      return CanSpare(replica, member, now) && IsLost(replica, member, now);
+      return CanSpare(replica, member) && IsLost(replica, member, now);
     case MemberChangeReason::kLeaving:
-      return MayLeave(replica, member) &&
+      return CanSpare(replica, member) &&
              member_requests.leave_deadlines.contains(member.id);
     case MemberChangeReason::kJoining:
       return false;
@@ -197,12 +199,39 @@
   return std::clamp(min_voters, kMinVoters, kMaxMembers);
 }
 
-bool CanSpare(const Replica& replica, const Member& member, Instant now) {
-  return MayLeave(replica, member) || HasResponsiveLearner(replica, now);
+bool CanSpare(const Replica& replica, const Member& member) {
+  return !member.is_voter || CountVoters(replica) > MinVoters(replica);
 }
 
-bool MayLeave(const Replica& replica, const Member& member) {
-  return !member.is_voter || CountVoters(replica) > MinVoters(replica);
+bool HasResponsiveLearner(const Replica& replica, Instant now) {
+  return std::any_of(replica.members.begin(), replica.members.end(),
+                     [&](const Member& m) {
+                       return !m.is_voter && IsResponsive(replica, m, now);
+                     });
+}
+
+bool CanPromote(const Replica& replica, Instant now) {
+  bool all_settled = true;
+  bool others_lost = true;  // Whether those that aren't settled are lost.
+  for (const auto& member : replica.members) {
+    if (!member.is_voter || IsSettled(replica, member, now)) {
+      continue;
+    }
+    all_settled = false;
+    others_lost &= IsLost(replica, member, now);
+  }
+  if (all_settled) {
+    return true;
+  }
+  size_t voters = CountVoters(replica);
+  if (voters > MinVoters(replica)) {
+    return false;  // A silent voter is removed first.
+  }
+  // The learner replies. With an even number of voters, its vote doesn't raise
+  // the majority.
+  bool can_commit =
+      CountRecentVoters(replica, now) + 1 >= MajorityOf(voters + 1);
+  return can_commit && (others_lost || voters % 2 == 0);
 }
 
 std::optional<MemberChange> NextMemberChange(const Replica& replica,
--- a/lib/Consensus/leave.cc
+++ b/lib/Consensus/leave.cc
@@ -52,8 +52,9 @@
     return LeaveAnswer::kLeft;
   }
   // With a learner, it may leave once the learner has its vote.
-  return CanSpare(replica, *member, now) ? LeaveAnswer::kPending
-                                         : LeaveAnswer::kStays;
+  bool may_leave =
+      CanSpare(replica, *member) || HasResponsiveLearner(replica, now);
+  return may_leave ? LeaveAnswer::kPending : LeaveAnswer::kStays;
 }
 
 Leave StartLeave(Duration grace, Instant now) {
--- a/lib/Consensus/replication.cc
+++ b/lib/Consensus/replication.cc
@@ -7,6 +7,7 @@
 #include <functional>
 #include <vector>
 
+#include "acaciahold/Consensus/group.h"
 #include "acaciahold/Support/check.h"
 #include "replica_state.h"
 
@@ -234,27 +235,8 @@
   return contact_times.empty() ? now : contact_times[Majority(replica) - 1];
 }
 
-namespace {
-
-// Returns whether every voter has replied to this leader within
-// kElectionTimeoutMax. A voter that has not replied since the election may have
-// been lost before it.
-bool AllVotersResponsive(const Replica& replica, Instant now) {
-  return std::all_of(
-      replica.members.begin(), replica.members.end(), [&](const Member& m) {
-        auto it = replica.progress.find(m.id);
-        bool is_responsive =
-            it == replica.progress.end() ||
-            (it->second.has_replied &&
-             now < it->second.last_reply_at + kElectionTimeoutMax);
-        return !m.is_voter || is_responsive;
-      });
-}
-
-}  // namespace
-
 void PromoteLearners(Replica& replica, Instant now, Output& output) {
-  if (!CanChangeMembers(replica) || !AllVotersResponsive(replica, now)) {
+  if (!CanChangeMembers(replica) || !CanPromote(replica, now)) {
     return;
   }
   for (auto& member : replica.members) {
--- a/lib/Consensus/replication.h
+++ b/lib/Consensus/replication.h
@@ -30,9 +30,7 @@
 
 // Makes one learner a voter that is less than kElectionTimeoutMin behind: its
 // last round of catching up ended in time, and the next one is not late yet.
-// New entries may come all the while. Does nothing while a voter is
-// unresponsive: a further voter would only raise the majority needed. The
-// learner is promoted once that voter has been removed.
+// New entries may come all the while. Does nothing unless CanPromote.
 void PromoteLearners(Replica& replica, Instant now, Output& output);
 
 // Records how much of the log a member has stored, then commits, promotes
--- a/lib/Node/replica_driver.cc
+++ b/lib/Node/replica_driver.cc
@@ -182,7 +182,9 @@
   if (has_failed_) {
     return;
   }
-  ProcessOutput(consensus::OnMessage(replica_, message, ReadClock()));
+  Instant now = ReadClock();
+  ProcessOutput(consensus::OnMessage(replica_, message, now));
+  ProposeMemberChange(now);
   CompleteReads();
 }
 
