--- a/unittests/Consensus/group_test.cc
+++ b/unittests/Consensus/group_test.cc
@@ -344,6 +344,20 @@
   BOOST_TEST(MinVoters(StartReplica(start, kStart)) == 5U);
 }
 
+// Guards against a group that stops since it was made smaller by intent: of
+// five hosts two were stopped for good, and then the settings say that one lost
+// disk must be borne.
+BOOST_AUTO_TEST_CASE(GroupMayBeMadeSmallerByItsSettings) {
+  auto leader = MakeWholeGroup(5, std::nullopt);
+  RunLeader(leader, {2, 3}, 99, Instant::max(), kStart + milliseconds(4'000));
+  BOOST_TEST(VoterCount(leader) == 5U);
+  leader = MakeWholeGroup(5, 1);
+  leader.min_voters = 5;
+  RunLeader(leader, {2, 3}, 99, Instant::max(), kStart + milliseconds(4'000));
+  BOOST_TEST(VoterCount(leader) == 3U);
+  BOOST_TEST(leader.min_voters == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(MinVotersIsEncodedAndMayBeMissing) {
   LogEntry entry{7, 2, EntryKind::kMembers, "[]", 5};
   auto json = ToJson(entry);
