Soak a group of five control hosts with overlapping losses

Change: the set `losses`: any number of five control hosts lose power for 3 to 8 s, and up to two their disks until the group has had recoveryS, 12 s, to recover; nothing acknowledged may be older at the end, and a change must be acknowledged. Even seeds have the tolerance in their settings.

--- a/include/acaciahold/Consensus/group.h
+++ b/include/acaciahold/Consensus/group.h
@@ -8,9 +8,8 @@
 //
 // To bear the loss of f disks at any moment, a group needs 2f + 1 voters at any
 // moment: whatever a majority has stored is then still on a disk of the others,
-// and these are a majority. The leader therefore keeps MinVoters. A voter that
-// is silent may come back with its disk, so it counts as a voter until the
-// group has more than that.
+// and these are a majority. The leader therefore keeps MinVoters. A silent voter
+// may come back with its disk, so it is removed only from more than that.
 
 #ifndef ACACIAHOLD_CONSENSUS_GROUP_H_
 #define ACACIAHOLD_CONSENSUS_GROUP_H_
--- a/test/soak/fault_sets.cc
+++ b/test/soak/fault_sets.cc
@@ -6,6 +6,9 @@
 
 std::vector<StepKind> StepKindsOf(FaultSet fault_set) {
   using enum StepKind;
+  if (fault_set == FaultSet::kLosses) {
+    return {kLosePower, kTryChange, kTryChange, kTryChange, kLoseDisks};
+  }
   std::vector<StepKind> kinds{kEntryHostFault,   kEntryHostFault,
                               kControlHostFault, kControlHostFault,
                               kUpstreamFault,    kChangeConfig};
--- a/test/soak/main.cc
+++ b/test/soak/main.cc
@@ -7,9 +7,12 @@
 // resets or blackholes the links to a control host, blocks one direction of
 // them, or blocks the links between two control hosts while the third reaches
 // both; control hosts are replaced by new ones, with or without SIGTERM, beside
-// changes in quick succession; upstreams drain, crash and restart with the same
-// id, or are lost; operator requests are sent meanwhile. Faults overlap.
+// changes in quick succession; control hosts of a larger group lose power,
+// several at once, and some of them their disks; upstreams drain, crash and
+// restart with the same id, or are lost; operator requests are sent meanwhile.
+// Faults overlap.
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -17,6 +20,7 @@
 #include <random>
 #include <vector>
 
+#include <boost/json/parse.hpp>
 #include <sys/resource.h>
 
 #include "fault_sets.h"
@@ -40,6 +44,13 @@
 constexpr milliseconds kResponseDelay{5};
 // Steps after which a new control host has had four seconds to catch up.
 constexpr int kCatchUpSteps = 6;
+// Control hosts of a run with overlapping losses, and how many of them may lose
+// their disk at the same time.
+constexpr int kLargeGroup = 5;
+constexpr int kToleratedDiskLosses = 2;
+// The group has recovered this long after all control hosts are back.
+constexpr milliseconds kRecoveryTime{12'000};
+constexpr int kRecoverySteps = kRecoveryTime / kStepTime + 1;
 // A host that gets SIGTERM must have stopped after this time.
 constexpr std::chrono::seconds kGraceTime{6};
 
@@ -51,6 +62,7 @@
         random_(seed),
         step_kinds_(StepKindsOf(fault_set)),
         replaces_hosts_(fault_set == FaultSet::kMembers),
+        loses_control_hosts_(fault_set == FaultSet::kLosses),
         entry_host_count_(
             static_cast<int>(scenario.fleet->EntryHosts().size())),
         control_hosts_(scenario.fleet->ControlHosts()) {}
@@ -62,7 +74,10 @@
       EndExpiredFaults();
     }
     EndAllFaults();
-    fleet_.RunFor(kSettleTime);
+    fleet_.RunFor(loses_control_hosts_ ? kRecoveryTime : kSettleTime);
+    if (loses_control_hosts_) {
+      CheckRecovery();
+    }
     CheckResults();
   }
 
@@ -132,6 +147,15 @@
       case StepKind::kLoseUpstream:
         LoseUpstream();
         break;
+      case StepKind::kLosePower:
+        LosePower();
+        break;
+      case StepKind::kLoseDisks:
+        LoseDisks();
+        break;
+      case StepKind::kTryChange:
+        TryChange();
+        break;
     }
   }
 
@@ -274,6 +298,64 @@
     }
   }
 
+  // Kills up to `most` control hosts that run, for some steps. With
+  // `loses_disk`, they come back with an empty one.
+  void KillControlHosts(int most, int steps, bool loses_disk) {
+    auto hosts = control_hosts_;
+    std::erase_if(hosts,
+                  [&](int it) { return HasActiveFault(Kind::kControl, it); });
+    std::shuffle(hosts.begin(), hosts.end(), random_);
+    int count = std::min(most, static_cast<int>(hosts.size()));
+    for (int i = 0; i < count; ++i) {
+      std::string name = "control " + std::to_string(hosts[i]);
+      LogStep("kill " + name);
+      fleet_.Signal(Kind::kControl, hosts[i], SIGKILL);
+      fleet_.AwaitExit(Kind::kControl, hosts[i]);
+      if (loses_disk) {
+        LogStep("delete the data folder of " + name);
+        fleet_.DeleteDataFolder(hosts[i]);
+        ++lost_disks_;
+      }
+      active_faults_.push_back(
+          {Kind::kControl, hosts[i], FaultKind::kStopped, steps});
+    }
+  }
+
+  // Some control hosts lose power at once, whatever else is lost.
+  void LosePower() {
+    KillControlHosts(1 + RandomBelow(kLargeGroup / 2), 4 + RandomBelow(9),
+                     false);
+  }
+
+  // Control hosts lose their disks: no more than are tolerated, until the group
+  // has recovered.
+  void LoseDisks() {
+    int left = kToleratedDiskLosses - lost_disks_;
+    KillControlHosts(left > 0 ? 1 + RandomBelow(left) : 0, 2, true);
+  }
+
+  // Service may be suspended while more hosts are lost than are tolerated.
+  void TryChange() {
+    bool is_acknowledged = scenario_.ChangeConfig(RandomBelow(5));
+    LogStep(is_acknowledged ? "change the configuration"
+                            : "a configuration change was not acknowledged");
+    unacknowledged_changes_ += is_acknowledged ? 0 : 1;
+  }
+
+  // Nothing that was acknowledged is lost or older, and changes are accepted.
+  void CheckRecovery() {
+    auto version_of = [](const std::string& config) {
+      return boost::json::parse(config).at("version").to_number<int64_t>();
+    };
+    auto config = fleet_.ReadConfig(kOperatorRequestTimeout);
+    Expect(config && version_of(*config) >= version_of(scenario_.config()),
+           "an acknowledged table is lost or older");
+    Expect(scenario_.ChangeConfig(0), "no change is acknowledged at the end");
+    config = fleet_.ReadConfig(kOperatorRequestTimeout);
+    Expect(config && *config == scenario_.config(),
+           "the last change can't be read");
+  }
+
   PacketUpstream* ChooseUpstream() {
     PacketUpstream* chosen = nullptr;
     for (auto& upstream : scenario_.upstreams) {
@@ -322,6 +404,9 @@
   void EndExpiredFaults() {
     steps_until_next_data_loss_ = std::max(0, steps_until_next_data_loss_ - 1);
     steps_until_next_loss_ = std::max(0, steps_until_next_loss_ - 1);
+    bool is_whole = CountActiveFaults(Kind::kControl) == 0;
+    whole_steps_ = is_whole ? whole_steps_ + 1 : 0;
+    lost_disks_ = whole_steps_ >= kRecoverySteps ? 0 : lost_disks_;
     std::erase_if(active_faults_, [&](ActiveFault& it) {
       if (--it.steps_left > 0) {
         return false;
@@ -416,11 +501,14 @@
   std::mt19937_64 random_;
   std::vector<StepKind> step_kinds_;
   bool replaces_hosts_;
+  bool loses_control_hosts_;
   int entry_host_count_;
   std::vector<int> control_hosts_;  // Those that have not stopped for good.
   std::vector<ActiveFault> active_faults_;
   int steps_until_next_data_loss_ = 0;
   int steps_until_next_loss_ = 0;  // Of a control host.
+  int lost_disks_ = 0;             // Since the group had last recovered.
+  int whole_steps_ = 0;            // Since all control hosts are back.
   int upstream_crashes_ = 0;
   int lost_upstreams_ = 0;
   int unacknowledged_changes_ = 0;
@@ -445,6 +533,12 @@
   options.response_delay = kResponseDelay;
   options.fleet.entry_host_count = entry_host_count;
   options.seed = seed;
+  if (fault_set == FaultSet::kLosses) {
+    options.fleet.control_host_count = kLargeGroup;
+    if (seed % 2 == 0) {
+      options.fleet.tolerated_disk_losses = kToleratedDiskLosses;
+    }
+  }
   PacketScenario scenario(options);
   Soak soak(scenario, seed, fault_set);
   soak.Run(steps);
@@ -456,21 +550,19 @@
 
 // Arguments: the acaciahold binary, a folder for files, the first seed, the
 // number of seeds, the number of steps per seed, and the set of faults to
-// inject: hosts, all, bridges, members or upstreams. A seventh argument is the
-// number of entry hosts, 3 by default, for runs with many processes.
+// inject: hosts, all, bridges, members, upstreams or losses. A seventh argument
+// is the number of entry hosts, 3 by default, for runs with many processes.
 int main(int argc, char** argv) {
   using acaciahold::standins::FaultSet;
   using acaciahold::standins::kHostCount;
   const std::map<std::string, FaultSet> fault_sets{
-      {"hosts", FaultSet::kHostFaults},
-      {"all", FaultSet::kAll},
-      {"bridges", FaultSet::kBridges},
-      {"members", FaultSet::kMembers},
-      {"upstreams", FaultSet::kUpstreams}};
+      {"hosts", FaultSet::kHostFaults},    {"all", FaultSet::kAll},
+      {"bridges", FaultSet::kBridges},     {"members", FaultSet::kMembers},
+      {"upstreams", FaultSet::kUpstreams}, {"losses", FaultSet::kLosses}};
   auto kind = fault_sets.find(argc == 7 || argc == 8 ? argv[6] : "");
   if (kind == fault_sets.end()) {
     std::cerr << "usage: acaciahold_soak BINARY FOLDER SEED SEEDS STEPS "
-                 "hosts|all|bridges|members|upstreams [ENTRY_HOSTS]\n";
+                 "hosts|all|bridges|members|upstreams|losses [ENTRY_HOSTS]\n";
     return 2;
   }
   // Make writes beyond RLIMIT_FSIZE fail instead of killing the process, here
--- a/test/standins/node_fleet.cc
+++ b/test/standins/node_fleet.cc
@@ -145,6 +145,10 @@
             LoopbackEndpoint(kBehindProxySubnet, host.last_octet, 0).address) +
         "\n";
   }
+  if (options_.tolerated_disk_losses) {
+    text += "  tolerated_disk_losses: " +
+            std::to_string(*options_.tolerated_disk_losses) + "\n";
+  }
   return text + "  admin: " + at(kAdminPort) +
          "\n  data_folder: " + DataFolderOf(host) +
          "\n  founds_group: " + (host.founds_group ? "true" : "false") + "\n";
--- a/test/standins/node_fleet.h
+++ b/test/standins/node_fleet.h
@@ -27,6 +27,8 @@
   int network = 21;  // Hosts use 127.NETWORK.0.0/16.
   int entry_host_count = 3;
   int control_host_count = 3;
+  // In the settings of the control hosts; nullopt: not said.
+  std::optional<uint32_t> tolerated_disk_losses;
   // Sends the output of all hosts to one pipe, which is read only by a test
   // that uses unread_logs().
   bool has_unread_logs = false;
