Remove a voter that lost its disk before its successor votes

What callers would see: one of three control hosts loses its disk, joins again, and loses its disk once more at the wrong moment; every read and change gets 503 for good, although no other host was lost.

Cause: PromoteLearners runs when a reply arrives, and the leader's other decisions after it. With all voters heard within 2 s, or the lost one silent for long enough, the learner at the lost voter's address got its vote while the lost one still counted. Two of four voters were then on one host.

VoterWithoutDiskIsRemovedBeforeItsSuccessorVotes fails before, for a voter just heard and for one silent for 2.5 s; the first way is in the untouched code too.

Change: CanPromote refuses while a voter has a successor at its address. Why it works: the removal needs as many hosts as the promotion would, and without the lost disk in the group a second loss on the same host takes one voter.

--- a/include/acaciahold/Consensus/group.h
+++ b/include/acaciahold/Consensus/group.h
@@ -8,8 +8,8 @@
 //
 // To bear the loss of f disks at any moment, a group needs 2f + 1 voters at any
 // moment: whatever a majority has stored is then still on a disk of the others,
-// and these are a majority. The leader therefore keeps MinVoters. A silent voter
-// may come back with its disk, so it is removed only from more than that.
+// and these are a majority. The leader therefore keeps MinVoters. A silent
+// voter may come back with its disk, so it is removed only from more than that.
 
 #ifndef ACACIAHOLD_CONSENSUS_GROUP_H_
 #define ACACIAHOLD_CONSENSUS_GROUP_H_
@@ -94,7 +94,8 @@
 // Returns whether a learner that has caught up may get its vote now. In general
 // all voters must be responsive, since another voter may raise the majority.
 // While the group has no more than MinVoters, a learner gets its vote before
-// the voter that it replaces is removed.
+// the silent voter that it replaces is removed. A voter that lost its disk is
+// removed before its successor gets its vote.
 bool CanPromote(const Replica& replica, Instant now);
 
 // In the order in which members are removed: one that is gone for good goes
--- a/lib/Consensus/group.cc
+++ b/lib/Consensus/group.cc
@@ -69,6 +69,15 @@
   return change;
 }
 
+// Returns whether another replica has joined at the member's endpoint after it.
+bool HasSuccessor(const Replica& replica, const Member& member) {
+  // Members are in the order in which they joined.
+  auto it = std::find(replica.members.begin(), replica.members.end(), member);
+  return std::any_of(it, replica.members.end(), [&](const Member& m) {
+    return m.endpoint == member.endpoint && m.id != member.id;
+  });
+}
+
 // Returns whether the member's endpoint is now used by a replica with another
 // id, which requests to join or has joined after it.
 bool IsSuperseded(const Replica& replica,
@@ -83,12 +92,7 @@
         const auto& request = it.second.request;
         return request.endpoint == member.endpoint && request.id != member.id;
       });
-  // Members are in the order in which they joined.
-  auto it = std::find(replica.members.begin(), replica.members.end(), member);
-  return has_request ||
-         std::any_of(it, replica.members.end(), [&](const Member& m) {
-           return m.endpoint == member.endpoint && m.id != member.id;
-         });
+  return has_request || HasSuccessor(replica, member);
 }
 
 // Returns how long the member may stay without a reply before it counts as
@@ -214,6 +218,9 @@
   bool all_settled = true;
   bool others_lost = true;  // Whether those that aren't settled are lost.
   for (const auto& member : replica.members) {
+    if (member.is_voter && HasSuccessor(replica, member)) {
+      return false;  // It has lost its disk, and is removed first.
+    }
     if (!member.is_voter || IsSettled(replica, member, now)) {
       continue;
     }
--- a/unittests/Consensus/group_test.cc
+++ b/unittests/Consensus/group_test.cc
@@ -390,6 +390,31 @@
   }
 }
 
+// Guards against a successor that gets its vote beside the voter that lost its
+// disk: if the host loses its disk once more, two of four voters are gone.
+BOOST_AUTO_TEST_CASE(VoterWithoutDiskIsRemovedBeforeItsSuccessorVotes) {
+  for (auto silence : {milliseconds(0), milliseconds(2'500)}) {
+    auto leader = MakeWholeGroup(3, 1);
+    auto members = leader.members;
+    members.push_back({9, EndpointOf(3), false, 109});
+    ProposeMembers(leader, members, kStart);
+    Instant later = kStart + silence;
+    for (ReplicaId id : {2, 9, 9, 2, 9}) {
+      ReplyToAppend(leader, id, 0, later);
+    }
+    BOOST_TEST(!IsVoter(leader, 9));
+    MemberRequests requests;
+    auto change = NextMemberChange(leader, requests, later);
+    BOOST_REQUIRE(change.has_value());
+    BOOST_TEST(change->member == 3U);
+    ProposeMembers(leader, change->members, later);
+    for (ReplicaId id : {2, 9, 9}) {
+      ReplyToAppend(leader, id, 0, later);
+    }
+    BOOST_TEST(IsVoter(leader, 9));
+  }
+}
+
 // The successor of a lost disk gets its vote although another voter has not
 // replied since the election: of four voters, one more doesn't raise the
 // majority.
