Let the model of groups notice acknowledged entries that are gone

Cause: the history compared commands only. An acknowledged one whose place a leader's first entry or a list of members took, or that was missing at the end of the log, passed as kept. Change: every applied entry is recorded with its index and term, and the leader at the end must have applied as far as was ever acknowledged.

--- a/unittests/Consensus/cluster.cc
+++ b/unittests/Consensus/cluster.cc
@@ -21,6 +21,12 @@
   return {id, 1};
 }
 
+// Names an entry that is not a command, so that no other one passes for it.
+std::string DescribeEntry(const LogEntry& entry) {
+  return "entry " + std::to_string(entry.index) + " of term " +
+         std::to_string(entry.term);
+}
+
 }  // namespace
 
 Cluster::Cluster(uint64_t seed, const ClusterOptions& options)
@@ -128,6 +134,8 @@
   for (const auto& entry : output.committed) {
     node.applied_index = entry.index;
     if (entry.kind != EntryKind::kCommand) {
+      history_.push_back({EventKind::kApplied, node.id, node.incarnation,
+                          entry.index, DescribeEntry(entry)});
       continue;
     }
     node.applied.push_back(entry.payload);
@@ -136,6 +144,7 @@
     auto it = pending_commands_.find({node.id, entry.index, entry.term});
     if (it != pending_commands_.end()) {
       ++acknowledged_count_;
+      acknowledged_index_ = std::max(acknowledged_index_, entry.index);
       history_.push_back({EventKind::kAcknowledged, node.id, node.incarnation,
                           entry.index, it->second});
       pending_commands_.erase(it);
@@ -434,7 +443,7 @@
       leader = &*node.replica;
     }
   }
-  if (!leader) {
+  if (!leader || leader->applied < acknowledged_index_) {
     return false;
   }
   size_t caught_up = 0;
--- a/unittests/Consensus/cluster.h
+++ b/unittests/Consensus/cluster.h
@@ -52,8 +52,9 @@
   void Run(int steps);
 
   const EventLog& history() const { return history_; }
-  // Returns whether there is a leader and a majority of its voters has applied
-  // as much of the log as it has.
+  // Returns whether there is a leader that has applied all that was
+  // acknowledged, and a majority of its voters has applied as much of the log
+  // as it has.
   bool HasConverged() const;
   uint64_t acknowledged_count() const { return acknowledged_count_; }
 
@@ -113,6 +114,7 @@
   uint64_t next_command_ = 1;
   uint64_t next_instance_ = 1;
   uint64_t acknowledged_count_ = 0;
+  Index acknowledged_index_ = 0;  // Of the last acknowledged command.
   // Accepted proposals that the proposing leader has not applied yet, by
   // leader, index and term.
   std::map<std::tuple<ReplicaId, Index, Term>, std::string> pending_commands_;
