Go on promoting learners under a leader that has a successor

What operators would see: a control host is put on an empty disk, joins, and is started again on its old one; if it then leads, no other learner gets a vote until the member of the empty disk has been removed for its silence. Cause: CanPromote refuses while a voter has a successor at its address, since that voter has lost its disk and is removed first. A leader is not removed, and has its disk. Found by reading; LeaderWithASuccessorPromotesLearners fails before.

--- a/lib/Consensus/group.cc
+++ b/lib/Consensus/group.cc
@@ -218,7 +218,8 @@
   bool all_settled = true;
   bool others_lost = true;  // Whether those that aren't settled are lost.
   for (const auto& member : replica.members) {
-    if (member.is_voter && HasSuccessor(replica, member)) {
+    if (member.is_voter && member.id != replica.id &&
+        HasSuccessor(replica, member)) {
       return false;  // It has lost its disk, and is removed first.
     }
     if (!member.is_voter || IsSettled(replica, member, now)) {
--- a/unittests/Consensus/group_test.cc
+++ b/unittests/Consensus/group_test.cc
@@ -263,9 +263,8 @@
 
 }  // namespace
 
-// Groups of eight and of six hosts that bear two lost disks; whoever isn't
-// named loses power. Guards against voters that are removed until two disks are
-// a majority of those that are left.
+// Whoever isn't named loses power. Guards against voters that are removed until
+// two disks are a majority of those that are left.
 BOOST_AUTO_TEST_CASE(SilentVotersAreKeptForDisksThatMayBeLost) {
   struct Case {
     ReplicaId voters;
@@ -390,6 +389,25 @@
   }
 }
 
+// Guards against a group that promotes nobody any more, since a replica that
+// was to replace the leader is a member: the leader came back with its old
+// disk.
+BOOST_AUTO_TEST_CASE(LeaderWithASuccessorPromotesLearners) {
+  auto leader = MakeWholeGroup(3, 1);
+  for (ReplicaId id : {9, 10}) {  // 9 is at the leader's endpoint.
+    auto members = leader.members;
+    members.push_back({id, EndpointOf(id == 9 ? 1 : id), false, 100ULL + id});
+    ProposeMembers(leader, members, kStart);
+    for (ReplicaId other : {2, 3}) {
+      ReplyToAppend(leader, other, 0, kStart);
+    }
+  }
+  for (ReplicaId id : {10, 10}) {
+    ReplyToAppend(leader, id, 0, kStart);
+  }
+  BOOST_TEST(IsVoter(leader, 10));
+}
+
 // Guards against a successor that gets its vote beside the voter that lost its
 // disk: if the host loses its disk once more, two of four voters are gone.
 BOOST_AUTO_TEST_CASE(VoterWithoutDiskIsRemovedBeforeItsSuccessorVotes) {
