Ask a group to keep no more voters than it ever had

What operators would see: the settings of three or four control hosts say that two lost disks must be borne, as before two more hosts are added. A silent one of four stays a voter, and the loss of one more stops the service; after a planned replacement in a group of three the old host stays a voter, and three of four are a majority without one to spare. With the tolerance left out, or 1, both are borne.

Cause: MinVoters was 2f + 1 of the settings, however many voters there had been. Keeping a silent voter below that number gains nothing: four voters bear one lost disk, as three do.

Change: MinVoters is at most what the group ever bore, which goes with its log. A list of an earlier version doesn't tell it; there the settings alone count, as before. A new group begins with three.

Found by reading; GroupKeepsNoMoreThanItEverBore fails before.

--- a/include/acaciahold/Consensus/group.h
+++ b/include/acaciahold/Consensus/group.h
@@ -77,11 +77,11 @@
 void OnLeaveRequest(MemberRequests& member_requests, ReplicaId id, Instant now);
 
 // Returns how many voters the leader keeps at least: 2f + 1, where f is
-// `tolerated_disk_losses`. Where that isn't known, f is the most that the group
-// ever bore, which goes with its log, and no removal lowers it. From kMinVoters
-// to kMaxMembers. A superseded voter is removed all the same: its disk is one
-// of the f, so that those that are left bear the rest until its successor has
-// its vote.
+// `tolerated_disk_losses`, but no more than what the group ever bore, which
+// goes with its log. Where the tolerance isn't known, f is the latter, and no
+// removal lowers it. From kMinVoters to kMaxMembers. A superseded voter is
+// removed all the same: its disk is one of the f, so that those that are left
+// bear the rest until its successor has its vote.
 size_t MinVoters(const Replica& replica);
 
 // Returns whether the group can do without the member: it has no vote, or there
--- a/lib/Consensus/elections.cc
+++ b/lib/Consensus/elections.cc
@@ -2,6 +2,7 @@
 
 #include "elections.h"
 
+#include "acaciahold/Consensus/group.h"
 #include "replica_state.h"
 #include "replication.h"
 
@@ -27,6 +28,8 @@
   for (auto& member : replica.members) {
     member.instance = replica.votes.at(member.id);
   }
+  // A new group bore nothing before.
+  replica.min_voters = kMinVoters;
   AppendMembers(replica, output);
 }
 
--- a/lib/Consensus/group.cc
+++ b/lib/Consensus/group.cc
@@ -194,11 +194,14 @@
 }
 
 size_t MinVoters(const Replica& replica) {
-  size_t min_voters = replica.min_voters;
+  size_t voters = CountVoters(replica);
+  size_t borne_losses = voters > 0 ? (voters - 1) / 2 : 0;
+  size_t min_voters = std::max(replica.min_voters, VotersToBear(borne_losses));
   if (replica.tolerated_disk_losses) {
-    min_voters = VotersToBear(*replica.tolerated_disk_losses);
-  } else if (size_t voters = CountVoters(replica); voters > 0) {
-    min_voters = std::max(min_voters, VotersToBear((voters - 1) / 2));
+    size_t needed = VotersToBear(*replica.tolerated_disk_losses);
+    // A list of an earlier version doesn't tell what the group bore before.
+    bool is_history_known = replica.min_voters > 0;
+    min_voters = is_history_known ? std::min(min_voters, needed) : needed;
   }
   return std::clamp(min_voters, kMinVoters, kMaxMembers);
 }
--- a/unittests/Consensus/group_test.cc
+++ b/unittests/Consensus/group_test.cc
@@ -357,6 +357,30 @@
   BOOST_TEST(leader.min_voters == 3U);
 }
 
+// Guards against a small group that stops where it need not, since its settings
+// ask for more than it ever bore: a lost fourth voter, or one that a planned
+// replacement leaves behind, would take the majority's only spare.
+BOOST_AUTO_TEST_CASE(GroupKeepsNoMoreThanItEverBore) {
+  auto leader = MakeFoundingLeader(3, 2);
+  BOOST_TEST(leader.min_voters == 3U);
+  for (ReplicaId id : {2, 3}) {
+    ReplyToAppend(leader, id, 0, kStart);
+  }
+  // A fourth host joins, and another one then leaves or is lost.
+  RunLeader(leader, {2, 3}, 9, kStart, kStart + milliseconds(1'000));
+  BOOST_TEST(VoterCount(leader) == 4U);
+  auto leaves = leader;
+  MemberRequests requests;
+  Instant later = kStart + milliseconds(1'000);
+  OnLeaveRequest(requests, 3, later);
+  auto change = NextMemberChange(leaves, requests, later);
+  BOOST_REQUIRE(change.has_value());
+  BOOST_TEST(change->member == 3U);
+  RunLeader(leader, {2, 9}, 99, Instant::max(), kStart + milliseconds(4'000));
+  BOOST_TEST(!IsVoter(leader, 3));
+  BOOST_TEST(VoterCount(leader) == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(MinVotersIsEncodedAndMayBeMissing) {
   LogEntry entry{7, 2, EntryKind::kMembers, "[]", 5};
   auto json = ToJson(entry);
--- a/unittests/Consensus/test_leader.h
+++ b/unittests/Consensus/test_leader.h
@@ -15,6 +15,10 @@
 // kStart.
 Replica MakeLeader(ReplicaId voters);
 
+// The same at the first election of a new group. All its voters have the
+// tolerance in their settings.
+Replica MakeFoundingLeader(ReplicaId voters, uint32_t tolerated_disk_losses);
+
 // Delivers a reply of member `from` that has stored the leader's whole log.
 Output ReplyToAppend(Replica& replica,
                      ReplicaId from,
