review: case 11, two upstream ids with the same tag

Cause: upstream ids of up to 16 digits are folded to the 32 bits of the tag, and the second upstream with a tag replaces the first. Change: a script with stand-ins of its own; the product is as it was.

--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,12 @@
+#!/bin/bash
+# Builds the stand-ins of the cases 11 to 15 below target/review-3, with the
+# compiler of the deploy file and no further library. Run it after the build of
+# the deploy file.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+out=target/review-3
+mkdir -p "$out"
+for case in first_start tag_clash; do
+  g++ -std=c++20 -O2 -Wall -Wextra -pthread \
+    review/standins-3/lab.cc "review/standins-3/$case.cc" -o "$out/$case"
+done
