--- a/review/standins-3/lab.h
+++ b/review/standins-3/lab.h
@@ -57,6 +57,15 @@
   int timeout_ms = 1'000;
   // Flows stay open and send requests one after the other.
   bool has_long_flows = false;
+  // With has_long_flows: how many flows the callers of a zone keep open, and
+  // the pause between two requests of a flow.
+  int flows_per_zone = 100;
+  double pause_ms = 150;
+  int goal_ms = 150;
+  // The zone whose callers use the route; -1: all zones.
+  int zone = -1;
+  // Of this many flows that callers could open, they open one.
+  int one_in = 1;
 };
 
 std::string MakeConfig(uint64_t version,
@@ -76,6 +85,8 @@
   std::string zone;
   std::string ip;
   double work_ms = 20;
+  double long_work_ms = 1'000;  // Of a long request.
+  double slots_free_ms[2] = {0, 0};
   double warmup_s = 2.0;  // How long it is cold after a start under traffic.
   bool starts_cold = false;
   double started_ms = 0;
@@ -100,6 +111,7 @@
 // An open flow that got a reset, and who sent the reset.
 struct Reset {
   double at_ms = 0;
+  double age_ms = 0;    // Of the flow.
   std::string flow;     // Address and port of the caller.
   std::string service;  // Of the flow's route.
   std::string owner;    // The upstream at which the flow is open.
@@ -140,6 +152,8 @@
   void StartEntries();
   // Sends SIGKILL and waits for the end.
   void KillControl(int i);
+  // Sends SIGTERM and waits for the end. Returns how long that took, in ms.
+  double TerminateControl(int i);
   // Deletes the disk of a control host that doesn't run.
   void WipeControl(int i);
   // The host is gone for good: no list names it any more.
@@ -172,6 +186,8 @@
   // Opens flows with one request each on the route, spread over all zones.
   void StartCallers(const std::vector<Route>& routes, double flows_per_s);
   void StopCallers() { is_calling_ = false; }
+  // From now on the next request of each flow of the route is a long one, once.
+  void AskLongRequests(const std::string& route);
   Counts counts();
   const std::vector<Reset>& resets() const { return resets_; }
   std::mutex& mutex() { return mutex_; }
@@ -218,10 +234,13 @@
   double flows_per_s_ = 0;
   double next_flow_ms_ = 0;
   uint64_t flow_number_ = 0;
+  std::map<const Route*, uint64_t> turns_;
   Counts counts_;
   std::vector<Reset> resets_;
   // Who sent the last reset to a caller.
   std::map<std::pair<uint32_t, uint16_t>, Upstream*> reset_senders_;
+  std::string long_route_;
+  int long_round_ = 0;
   struct Delayed {
     Upstream* upstream;
     std::vector<uint8_t> packet;
--- a/review/standins-3/tag_clash.cc
+++ b/review/standins-3/tag_clash.cc
@@ -17,6 +17,7 @@
 
 namespace {
 
+constexpr double kFlowTtlMs = 60'000;
 constexpr double kStableMs = 4'000;
 
 uint32_t AddressOf(const std::string& ip) {
@@ -124,7 +125,8 @@
   size_t foreign = 0;
   for (const auto& it : world.resets()) {
     bool is_foreign =
-        it.sender != it.owner && it.owner_lives && it.was_held;
+        it.sender != it.owner && it.owner_lives && it.was_held &&
+                      it.age_ms < kFlowTtlMs;
     foreign += is_foreign ? 1 : 0;
     world.Record("at %.1f the %s flow of %s to %s at %s got a reset from "
                  "%s%s",
