--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -7,7 +7,7 @@
 folder="$(mktemp -d)" || exit 2
 trap 'rm -rf "$folder"' EXIT
 LAB_ROOT="$root" LAB_RECORD="$here/record.txt" LAB_FOLDER="$folder" \
-  timeout -k 2 115 "$root/target/review-3/control_restart"
+  timeout -k 2 115 "$root/target/review-3/tag_clash"
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -6,7 +6,7 @@
 cd "$(dirname "$0")/.."
 out=target/review-3
 mkdir -p "$out"
-for case in control_restart first_start tag_clash; do
+for case in tag_clash; do
   g++ -std=c++20 -O2 -Wall -Wextra -pthread \
     review/standins-3/lab.cc "review/standins-3/$case.cc" -o "$out/$case"
 done
--- a/review/standins-3/lab.cc
+++ b/review/standins-3/lab.cc
@@ -813,6 +813,11 @@
       SendToFabric(flow, kAck, flow.NextSeq(), flow.NextAck(), kRequestBytes);
       continue;
     }
+    bool is_received = h.len == 0 && flow.is_waiting &&
+                       h.ack == flow.NextSeq() + flow.request_bytes;
+    if (is_received) {
+      flow.due_ms = Now() + 1e6;  // Nothing is missing.
+    }
     if (h.len > 0 && flow.is_waiting && h.seq == flow.NextAck()) {
       ++counts_.answered;
       ++flow.answers;
@@ -902,7 +907,11 @@
         delay = free - Now();
       }
       if (!is_first) {
-        continue;  // The answer is under way, and acknowledges the request.
+        // Every second packet is acknowledged; the answer is under way.
+        reply.seq = h.ack;
+        reply.ack = h.seq + h.len;
+        delayed_.emplace(Now(), Delayed{&upstream, Encode(reply), h.src});
+        continue;
       }
       reply.seq = h.ack;
       reply.ack = h.seq + h.len;
