--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -8,5 +8,5 @@
 mkdir -p "$out"
 for case in tag_clash; do
   g++ -std=c++20 -O2 -Wall -Wextra -pthread \
-    review/standins-3/lab.cc "review/standins-3/$case.cc" -o "$out/$case"
+    review/standins-3/lab.cpp "review/standins-3/$case.cpp" -o "$out/$case"
 done
--- a/review/standins-3/lab.cc
+++ b/review/standins-3/lab.cpp
@@ -1,6 +1,6 @@
-// Stand-ins of the platform; see lab.h.
+// Stand-ins of the platform; see lab.hpp.
 
-#include "lab.h"
+#include "lab.hpp"
 
 #include <algorithm>
 #include <cerrno>
@@ -137,9 +137,9 @@
 }  // namespace
 
 double Now() {
-  static const auto start = std::chrono::steady_clock::now();
+  static const auto kStart = std::chrono::steady_clock::now();
   return std::chrono::duration<double, std::milli>(
-             std::chrono::steady_clock::now() - start)
+             std::chrono::steady_clock::now() - kStart)
       .count();
 }
 
@@ -169,8 +169,8 @@
   int rc = connect(fd, reinterpret_cast<sockaddr*>(&a), sizeof a);
   bool ok = rc == 0 || (errno == EINPROGRESS && wait(POLLOUT));
   for (size_t sent = 0; ok && sent < request.size();) {
-    auto n = send(fd, request.data() + sent, request.size() - sent,
-                  MSG_NOSIGNAL);
+    auto n =
+        send(fd, request.data() + sent, request.size() - sent, MSG_NOSIGNAL);
     if (n > 0) {
       sent += static_cast<size_t>(n);
     } else {
@@ -188,7 +188,8 @@
     auto end = text.find("\r\n\r\n");
     auto length = text.find("Content-Length: ");
     if (end != std::string::npos && length != std::string::npos &&
-        text.size() >= end + 4 + std::strtoul(&text[length + 16], nullptr, 10)) {
+        text.size() >=
+            end + 4 + std::strtoul(&text[length + 16], nullptr, 10)) {
       answer.status = std::atoi(text.c_str() + 9);
       answer.body = text.substr(end + 4);
       auto at = text.find("Location: ");
@@ -205,7 +206,8 @@
 std::string MakeConfig(uint64_t version,
                        const std::vector<Route>& routes,
                        const std::vector<Service>& services) {
-  std::string text = "{\"version\":" + std::to_string(version) + ",\"routes\":[";
+  std::string text =
+      "{\"version\":" + std::to_string(version) + ",\"routes\":[";
   bool first = true;
   for (const auto& it : routes) {
     text += std::string(first ? "" : ",") + "{\"name\":\"" + it.name +
@@ -408,8 +410,8 @@
   int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
   // The commands of deploy/system.toml.
   const char* entry[] = {binary_.c_str(), "run", nullptr};
-  const char* control[] = {binary_.c_str(), "run",
-                           "--tolerated-disk-losses=1", nullptr};
+  const char* control[] = {binary_.c_str(), "run", "--tolerated-disk-losses=1",
+                           nullptr};
   const char* env[] = {variable.c_str(), "PATH=/usr/bin:/bin", nullptr};
   pid_t pid = fork();
   if (pid == 0) {
@@ -538,8 +540,8 @@
     Record("operator: %s %s to %s: %d", method.c_str(), path.c_str(),
            ip.c_str(), answer.status);
     last = answer.status;
-    bool is_final = last >= 200 && last < 500 && last != 307 && last != 408 &&
-                    last != 429;
+    bool is_final =
+        last >= 200 && last < 500 && last != 307 && last != 408 && last != 429;
     if (is_final || Now() >= deadline) {
       return last;
     }
@@ -589,16 +591,16 @@
                       ? std::max(0.0, upstream.started_ms +
                                           upstream.warmup_s * 1e3 - Now())
                       : 0;
-    std::string body =
-        "{\"service\":\"" + upstream.service + "\",\"addr\":\"" + upstream.ip +
-        ":" + std::to_string(kUpstreamPort) + "\",\"zone\":\"" + upstream.zone +
-        "\",\"version\":\"v1\",\"slots\":2,\"state\":\"ready\","
-        "\"warmupLeftMs\":" +
-        std::to_string(static_cast<int>(left)) +
-        ",\"seq\":" + std::to_string(seq) +
-        ",\"born\":" + std::to_string(upstream.born_ms) + "}";
-    auto answer = Call(ip, kControlPort, "PUT",
-                       "/-/instances/" + upstream.id, body, 1'000);
+    std::string body = "{\"service\":\"" + upstream.service + "\",\"addr\":\"" +
+                       upstream.ip + ":" + std::to_string(kUpstreamPort) +
+                       "\",\"zone\":\"" + upstream.zone +
+                       "\",\"version\":\"v1\",\"slots\":2,\"state\":\"ready\","
+                       "\"warmupLeftMs\":" +
+                       std::to_string(static_cast<int>(left)) +
+                       ",\"seq\":" + std::to_string(seq) +
+                       ",\"born\":" + std::to_string(upstream.born_ms) + "}";
+    auto answer = Call(ip, kControlPort, "PUT", "/-/instances/" + upstream.id,
+                       body, 1'000);
     bool is_acked = answer.status / 100 == 2;
     if (is_acked && failures >= 0) {
       Record("heartbeat %s seq %lu to %s: %d, cold for %d ms more",
@@ -698,8 +700,8 @@
     auto flow = std::make_unique<Flow>();
     ++flow_number_;
     flow->zone = flow_number_ % options_.zones.size();
-    flow->route = &routes_[(flow_number_ / options_.zones.size()) %
-                           routes_.size()];
+    flow->route =
+        &routes_[(flow_number_ / options_.zones.size()) % routes_.size()];
     flow->src = Number(Ip(2, static_cast<int>(flow->zone) + 1));
     flow->sport = static_cast<uint16_t>(10'000 + flow_number_ % 50'000);
     flow->dst = Number(flow->route->host);
@@ -733,8 +735,7 @@
     if (is_late || is_ending) {
       counts_.timed_out += is_late ? 1 : 0;
       if (flow.is_open) {
-        SendToFabric(flow, kFin | kAck, flow.NextSeq(),
-                     flow.NextAck(), 0);
+        SendToFabric(flow, kFin | kAck, flow.NextSeq(), flow.NextAck(), 0);
       }
       it = flows_.erase(it);
       continue;
@@ -749,8 +750,8 @@
       flow.started_ms = now;
       flow.delay_ms = 200;
       flow.due_ms = now + 200;
-      bool is_long = flow.route->name == long_route_ &&
-                     flow.long_round < long_round_;
+      bool is_long =
+          flow.route->name == long_route_ && flow.long_round < long_round_;
       flow.long_round = is_long ? long_round_ : flow.long_round;
       flow.request_bytes = is_long ? kLongRequestBytes : kRequestBytes;
       SendToFabric(flow, kAck, flow.NextSeq(), flow.NextAck(),
@@ -788,7 +789,8 @@
         auto held = flow.owner->flows.find({h.dst, h.dport});
         bool was_held =
             held != flow.owner->flows.end() && held->second != flow.isn;
-        resets_.push_back({Now(), Now() - flow.opened_ms, Text(h.dst) + ":" + std::to_string(h.dport),
+        resets_.push_back({Now(), Now() - flow.opened_ms,
+                           Text(h.dst) + ":" + std::to_string(h.dport),
                            flow.route->service, flow.owner->id,
                            sender ? sender->id : "the system",
                            flow.owner->is_running, was_held});
@@ -803,8 +805,8 @@
       flow.echo = h.echo;
       flow.peer_seq = h.seq;
       for (auto& it : upstreams_) {
-        bool is_owner = it.flows.contains({h.dst, h.dport}) &&
-                        InitialSeq(it) == h.seq;
+        bool is_owner =
+            it.flows.contains({h.dst, h.dport}) && InitialSeq(it) == h.seq;
         flow.owner = is_owner ? &it : flow.owner;
       }
       flow.is_waiting = true;
@@ -894,16 +896,16 @@
       reply.seq = h.ack;
       reply.ack = h.seq + 1;
     } else if (h.len > 0) {
-      bool is_first = h.seq - known->second < 0x80000000U &&
-                      h.seq != known->second;
+      bool is_first =
+          h.seq - known->second < 0x80000000U && h.seq != known->second;
       if (is_first) {
         ++upstream.runs;
         known->second = h.seq;
         auto& free = *std::min_element(std::begin(upstream.slots_free_ms),
                                        std::end(upstream.slots_free_ms));
-        free = std::max(free, Now()) +
-               (h.len == kLongRequestBytes ? upstream.long_work_ms
-                                           : upstream.work_ms);
+        free = std::max(free, Now()) + (h.len == kLongRequestBytes
+                                            ? upstream.long_work_ms
+                                            : upstream.work_ms);
         delay = free - Now();
       }
       if (!is_first) {
--- a/review/standins-3/lab.h
+++ b/review/standins-3/lab.hpp
@@ -124,8 +124,8 @@
   uint64_t attempts = 0;  // Flows that callers opened.
   uint64_t opened = 0;
   uint64_t answered = 0;
-  uint64_t refused = 0;   // Reset by the system before they opened.
-  uint64_t reset = 0;     // Open flows that the system reset.
+  uint64_t refused = 0;  // Reset by the system before they opened.
+  uint64_t reset = 0;    // Open flows that the system reset.
   uint64_t timed_out = 0;
 };
 
@@ -214,7 +214,10 @@
   void Packets();
   void OnUpstreamPacket(Upstream& upstream);
   void OnCallerPacket(size_t zone);
-  void SendToFabric(Flow& flow, uint8_t flags, uint32_t seq, uint32_t ack,
+  void SendToFabric(Flow& flow,
+                    uint8_t flags,
+                    uint32_t seq,
+                    uint32_t ack,
                     uint16_t len);
   void StepFlows(double now);
 
--- a/review/standins-3/tag_clash.cc
+++ b/review/standins-3/tag_clash.cpp
@@ -11,7 +11,7 @@
 #include <cstring>
 #include <exception>
 
-#include "lab.h"
+#include "lab.hpp"
 
 namespace {
 
@@ -71,34 +71,37 @@
   int ended = world.CountEnded();
   auto counts = world.counts();
   std::lock_guard lock(world.mutex());
-  world.Record("callers: %lu requests, %lu flows opened, %lu answered, "
-               "%lu refused, %lu reset by the system, %lu timed out; %d "
-               "processes ended by themselves",
-               counts.attempts, counts.opened, counts.answered, counts.refused,
-               counts.reset, counts.timed_out, ended);
+  world.Record(
+      "callers: %lu requests, %lu flows opened, %lu answered, "
+      "%lu refused, %lu reset by the system, %lu timed out; %d "
+      "processes ended by themselves",
+      counts.attempts, counts.opened, counts.answered, counts.refused,
+      counts.reset, counts.timed_out, ended);
   for (const auto& it : world.upstreams()) {
-    world.Record("upstream %s of %s: ran %lu requests, got %lu packets of "
-                 "flows of others",
-                 it.id.c_str(), it.service.c_str(), it.runs,
-                 it.foreign_packets);
+    world.Record(
+        "upstream %s of %s: ran %lu requests, got %lu packets of "
+        "flows of others",
+        it.id.c_str(), it.service.c_str(), it.runs, it.foreign_packets);
   }
   size_t foreign = 0;
   for (const auto& it : world.resets()) {
     bool is_foreign = it.sender != it.owner && it.owner_lives && it.was_held &&
                       it.age_ms < kFlowTtlMs;
     foreign += is_foreign ? 1 : 0;
-    world.Record("at %.1f the %s flow of %s to %s at %s got a reset from "
-                 "%s%s",
-                 it.at_ms, it.was_held ? "open" : "opening", it.flow.c_str(),
-                 it.service.c_str(), it.owner.c_str(), it.sender.c_str(),
-                 is_foreign ? ": FLOW broken" : "");
+    world.Record(
+        "at %.1f the %s flow of %s to %s at %s got a reset from "
+        "%s%s",
+        it.at_ms, it.was_held ? "open" : "opening", it.flow.c_str(),
+        it.service.c_str(), it.owner.c_str(), it.sender.c_str(),
+        is_foreign ? ": FLOW broken" : "");
   }
   if (counts.opened < 200) {
     return 2;
   }
-  std::printf("%zu open flows got a reset that their upstream didn't send: "
-              "FLOW %s\n",
-              foreign, foreign > 0 ? "broken" : "held");
+  std::printf(
+      "%zu open flows got a reset that their upstream didn't send: "
+      "FLOW %s\n",
+      foreign, foreign > 0 ? "broken" : "held");
   world.Record("FLOW %s", foreign > 0 ? "broken" : "held");
   return foreign > 0 ? 1 : 0;
 }
