--- a/bench/tagged.cc
+++ b/bench/tagged.cc
@@ -14,6 +14,7 @@
 
 #include "acaciahold/Node/packet_port.h"
 #include "acaciahold/Steering/tag_steering.h"
+#include "acaciahold/Support/hash.h"
 #include "entry_packets.h"
 #include "packet_header.h"
 
@@ -73,17 +74,39 @@
   }
 }
 
-// Decides on later packets of randomly chosen flows. The argument is the number
-// of open flows.
+struct TaggedPacket {
+  steering::TaggedFlow flow;
+  steering::Tag tag = 0;
+};
+
+// Returns later packets of randomly chosen flows, which are spread over the
+// upstreams of the service.
+std::vector<TaggedPacket> MakePackets(uint64_t flows) {
+  constexpr size_t kPackets = 1U << 16U;
+  std::mt19937_64 random(kSeed);
+  std::vector<TaggedPacket> packets;
+  while (packets.size() < kPackets) {
+    uint64_t i = random() % flows;
+    auto flow = MakeFlow(i);
+    auto hash =
+        CombineHashes(PackEndpoint(flow.caller), PackEndpoint(flow.listener));
+    packets.push_back({flow, steering::FlowTag(1 + i % kUpstreams, hash, 0)});
+  }
+  return packets;
+}
+
+// Decides on later packets. The arguments are the numbers of open flows and of
+// upstreams of other services.
 void DecideTagged(benchmark::State& state) {
   auto steering = steering::MakeTagSteering("fd1", kSeed);
   AddServiceUpstreams(steering, 9);
-  std::mt19937_64 random(kSeed);
-  uint64_t flows = static_cast<uint64_t>(state.range(0));
+  AddOtherUpstreams(steering, static_cast<uint32_t>(state.range(1)));
+  auto packets = MakePackets(static_cast<uint64_t>(state.range(0)));
+  size_t i = 0;
   for (auto unused : state) {
-    uint64_t i = random() % flows;
-    benchmark::DoNotOptimize(steering::OnTagged(
-        steering, MakeFlow(i), steering::TagOf(1 + i % kUpstreams), 1, kNow));
+    const auto& it = packets[i++ % packets.size()];
+    benchmark::DoNotOptimize(
+        steering::OnTagged(steering, it.flow, it.tag, 1, kNow));
   }
 }
 
@@ -166,7 +189,7 @@
   static std::vector<std::byte> MakePacket() {
     std::vector<std::byte> packet(kPacketSize);
     packet[4] = std::byte{32};  // ACK
-    platform::WriteTag(packet, steering::TagOf(1));
+    platform::WriteTag(packet, steering::UpstreamTag(1));
     packet[32] = std::byte{kPacketSize - platform::kPacketHeaderBytes};
     return packet;
   }
@@ -222,7 +245,7 @@
   });
 }
 
-BENCHMARK(DecideTagged)->Arg(10'000)->Arg(1'000'000);
+BENCHMARK(DecideTagged)->ArgsProduct({{10'000, 1'000'000}, {0, 15'000}});
 BENCHMARK(DecideOpening)->Arg(0)->Arg(15'000);
 BENCHMARK(JudgeSuspects)->Arg(0)->Arg(15'000);
 BENCHMARK(ForwardBare)->UseManualTime();
--- a/include/acaciahold/Explain/diagnosis.h
+++ b/include/acaciahold/Explain/diagnosis.h
@@ -42,6 +42,7 @@
   kOverloaded,    // Refused: the service was overloaded.
   kOutranked,     // Refused: the room was left to other listeners.
   kHostStarting,  // The host was starting or had stalled, and lacked state.
+  kAmbiguousTag,  // The flow's tag belonged to several upstreams.
   kStranded,      // Reset: the open flow's upstream was gone or out of reach.
   kUpstreamLost,  // The flow's upstream stopped, restarted or became silent.
   kHostCutOff,    // The entry host was cut off from other failure domains.
--- a/include/acaciahold/Node/control_node.h
+++ b/include/acaciahold/Node/control_node.h
@@ -16,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -136,7 +137,10 @@
   bool IsCurrent(Instant now) const;
   void SendFeedStatus(Instant now);
   void UpdateEntryHostCount(Instant now);
-  EntryHosts ConnectedEntryHosts() const;
+  std::vector<std::string> ConnectedEntryHosts() const;
+  std::vector<EntryHosts> MakeEntryHostReports(
+      std::span<const std::string> names) const;
+  void NoteConnectedFlowTagReaders(Instant now);
 
   void SendToGroup(const consensus::Message& message);
   void SendToControlHosts(const Message& message);
--- a/include/acaciahold/Node/entry_host_counter.h
+++ b/include/acaciahold/Node/entry_host_counter.h
@@ -1,6 +1,7 @@
-// Counts the entry hosts of a deployment. Each control host reports the entry
-// hosts connected to it to the other control hosts, and sends the total to its
-// entry hosts. Performs no I/O.
+// Counts the entry hosts of a deployment, and finds out whether all of them
+// understand flow tags. Each control host reports the entry hosts connected to
+// it to the other control hosts, and sends the result to its entry hosts.
+// Performs no I/O.
 //
 // Hundreds of entry hosts may start at the same time, each connected to several
 // control hosts. Reports therefore contain only newly connected hosts:
@@ -30,13 +31,31 @@
 // entry hosts can connect to some control host and be reported first.
 inline constexpr Duration kEntryCountDelay = std::chrono::seconds(2);
 
+// Whether all entry hosts understand flow tags (see Steering/flow_tags.h), so
+// that they may be written. Those of earlier versions don't.
+enum class FlowTagSupport : uint32_t {
+  kUnknown,  // Not all entry hosts have been reported yet.
+  kNotAll,
+  kAll,
+};
+
+// Combines what several control hosts reported: kNotAll if one reported it,
+// kUnknown if none knows.
+FlowTagSupport CombineFlowTagSupport(std::span<const FlowTagSupport> reports);
+
 struct EntryHostCounter {
   // When the lease of each entry host in the deployment expires.
   std::map<std::string, Instant> lease_deadlines;
-  // Entry hosts connected here that other control hosts have been sent.
-  std::set<std::string> reported_names;
+  // Those that understand flow tags. Invariant: has only names of
+  // `lease_deadlines`.
+  std::set<std::string> flow_tag_readers;
+  // Entry hosts connected here that other control hosts have been sent, and
+  // whether they were said to understand flow tags.
+  std::map<std::string, bool> reported_hosts;
   // Last count sent to entry hosts; 0: none yet.
   uint32_t sent_count = 0;
+  // Sent together with the count.
+  FlowTagSupport sent_support = FlowTagSupport::kUnknown;
   // When all entry hosts connected here are reported again.
   Instant full_report_deadline;
   Instant count_deadline;  // No count is sent to entry hosts before it.
@@ -50,10 +69,16 @@
                           std::span<const std::string> names,
                           Instant now);
 
+// Notes whether entry hosts understand flow tags. Renew their leases first.
+void NoteFlowTagReaders(EntryHostCounter& counter,
+                        std::span<const std::string> names,
+                        bool understand_flow_tags);
+
 // What a control host has to send after a change of the entry hosts.
 struct EntryHostUpdate {
   std::vector<std::string> names;  // For other control hosts; may be empty.
-  std::optional<uint32_t> count;   // For entry hosts, if it changed.
+  // For entry hosts, if it or the support of flow tags changed.
+  std::optional<uint32_t> count;
 };
 
 // Renews the leases of `connected`, the entry hosts connected here, and returns
--- a/include/acaciahold/Node/entry_node.h
+++ b/include/acaciahold/Node/entry_node.h
@@ -97,6 +97,8 @@
     bool is_sync_requested = false;
     bool is_current = false;   // From the feed's last FeedStatus.
     uint32_t entry_hosts = 0;  // Number of entry hosts that this feed reported.
+    // Whether they understand flow tags, as this feed reported.
+    FlowTagSupport flow_tag_support = FlowTagSupport::kUnknown;
     // Newest revision in this feed's view changes that could not be applied; 0:
     // none.
     uint64_t missed_revision = 0;
@@ -138,6 +140,7 @@
   void ResetStrandedFlows(Instant now);
   void UpdateFeedPlan(Instant now);
   void UpdateEntryHostCount();
+  void UpdateFlowTagSupport();
   std::set<ControlHost> KnownHosts() const;
 
   boost::asio::io_context& io_;
--- a/include/acaciahold/Node/messages.h
+++ b/include/acaciahold/Node/messages.h
@@ -6,6 +6,7 @@
 #define ACACIAHOLD_NODE_MESSAGES_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -15,6 +16,7 @@
 #include "acaciahold/Consensus/message.h"
 #include "acaciahold/Directory/failure_detector.h"
 #include "acaciahold/Load/load.h"
+#include "acaciahold/Node/entry_host_counter.h"
 #include "acaciahold/Node/feed_choice.h"
 #include "acaciahold/Support/error.h"
 #include "acaciahold/Wire/control_message.h"
@@ -34,6 +36,9 @@
   // Whether the sender understands load sums, if it is a control host, or load
   // digests. Hosts of earlier versions don't send the field.
   bool understands_load = false;
+  // Whether the sender is an entry host that understands flow tags. Hosts of
+  // earlier versions don't send the field.
+  bool understands_flow_tags = false;
 };
 
 // Carries a message of the consensus protocol.
@@ -82,12 +87,18 @@
 // those that were not reported yet, periodically all of them.
 struct EntryHosts {
   std::vector<std::string> names;
+  // Whether all of these understand flow tags, or none does. Control hosts of
+  // earlier versions don't know.
+  std::optional<bool> understand_flow_tags;
 };
 
 // To entry hosts: number of entry hosts in the deployment, including those lost
 // within kEntryHostLease.
 struct EntryHostCount {
   uint32_t count = 0;
+  // Control hosts of earlier versions don't send the field, which counts as
+  // kNotAll: entry hosts of such a version are likely.
+  FlowTagSupport flow_tag_support = FlowTagSupport::kNotAll;
 };
 
 // From an entry host to its feeds: failures of upstreams since its last report.
--- a/include/acaciahold/Steering/tag_steering.h
+++ b/include/acaciahold/Steering/tag_steering.h
@@ -2,9 +2,11 @@
 // ends of a flow echo the tag. This code does no I/O.
 //
 // The entry host that receives a flow's opening packet chooses an upstream and
-// writes the upstream's tag into the packet. Every later packet carries the
-// tag, so any entry host, even one that has just started, can forward it to the
-// same upstream without per-flow state. The only per-flow state is that of
+// writes a tag of the upstream into the packet; see flow_tags.h. Every later
+// packet carries the tag, so any entry host, even one that has just started,
+// can forward it to the same upstream without per-flow state. A packet whose
+// tag may belong to several upstreams is dropped if nothing tells them apart:
+// the wrong one would reset the flow. The only per-flow state is that of
 // small caches: recent opening packets, last requests and overdue flows.
 // Retransmissions of an opening packet go to the same upstream unless it did
 // not answer, and an upstream that leaves several opening packets unanswered is
@@ -32,6 +34,7 @@
 #include "acaciahold/Load/digests.h"
 #include "acaciahold/Load/load.h"
 #include "acaciahold/Steering/admission.h"
+#include "acaciahold/Steering/flow_tags.h"
 #include "acaciahold/Steering/overload.h"
 #include "acaciahold/Steering/placement.h"
 #include "acaciahold/Steering/reachability.h"
@@ -42,11 +45,6 @@
 
 namespace acaciahold::steering {
 
-using Tag = uint32_t;  // 0: no tag.
-
-// Returns the tag of an upstream, which is the same on every host.
-Tag TagOf(directory::UpstreamId id);
-
 struct TaggedFlow {
   Endpoint caller;
   Endpoint listener;
@@ -76,15 +74,23 @@
   kNoTable,         // The catalog or the upstreams have not been received yet.
   kNoUpstream,      // No upstream of the service may take the flow.
   kUnknownTag,      // The upstream's record may not have been received yet.
-  kStalled,         // This process was stalled and has not caught up yet.
-  kOverloaded,      // The upstreams could not answer in time; see overload.h.
-  kOutranked,  // The room is left to listeners that go first; see admission.h.
+  // Several upstreams have the tag, or each tag of a new flow.
+  kAmbiguousTag,
+  kStalled,     // This process was stalled and has not caught up yet.
+  kOverloaded,  // The upstreams could not answer in time; see overload.h.
+  kOutranked,   // The room is left to listeners that go first; see admission.h.
   // Open flow whose upstream is gone or out of reach; see stranded_flow.h.
   kUpstreamGone,
 };
 inline constexpr size_t kTagReasons =
     static_cast<size_t>(TagReason::kUpstreamGone) + 1;
 
+// A tag that two upstreams have.
+struct TagClash {
+  directory::UpstreamId first = 0;
+  directory::UpstreamId second = 0;
+};
+
 struct TagDecision {
   TagVerdict verdict = TagVerdict::kDrop;
   TagReason reason = TagReason::kNoTable;
@@ -92,6 +98,8 @@
   Endpoint endpoint;  // Of the upstream.
   Tag tag = 0;
   RefusalFacts facts = {};  // For kOverloaded and kOutranked only.
+  // Set for the first packet with a tag that several upstreams have.
+  std::optional<TagClash> clash = {};
 };
 
 // The upstream's answer to an opening packet reaches the caller within this
@@ -126,6 +134,12 @@
   uint64_t unanswered = 0;    // Openings.
   uint64_t repeated = 0;      // Retransmitted data packets.
   uint64_t given_up = 0;      // Flows that callers closed without an answer.
+  // Later packets whose tag several upstreams have.
+  uint64_t ambiguous = 0;
+  // New flows without their upstream's first tag, as another has it too.
+  uint64_t clashes_avoided = 0;
+  // New flows for which no upstream had a tag of its own.
+  uint64_t clashes_refused = 0;
   // Openings refused for lack of room, by their listener's priority.
   std::map<uint32_t, uint64_t> refused;
   std::array<uint64_t, kStrandedCauses> strandings{};  // Flows reset by cause.
@@ -133,7 +147,6 @@
 
 struct TagUpstream {
   directory::UpstreamId id = 0;
-  Tag tag = 0;
   Endpoint endpoint;  // Invariant: equals the endpoint in the directory.
   // Invariant: points to the upstream's entry in TagSteering::directory.
   const directory::Entry* entry = nullptr;
@@ -172,6 +185,7 @@
   uint64_t flow_hash = 0;
   Endpoint listener;
   uint32_t sequence = 0;
+  directory::UpstreamId upstream = 0;
   Tag tag = 0;
   Instant placed_at;
   // The flow's next packet was seen, or the opening was counted as unanswered.
@@ -185,7 +199,7 @@
 // A packet with data that the caller retransmits unless the upstream answers.
 struct AwaitedRepeat {
   uint64_t flow_hash = 0;
-  Tag tag = 0;
+  directory::UpstreamId upstream = 0;
   Endpoint listener;
   Instant data_sent_at;  // The first packet with this data.
   Instant sent_at;       // This packet.
@@ -215,6 +229,7 @@
 // A flow of an idempotent route whose last request was retransmitted.
 struct OverdueFlow {
   TaggedFlow flow;
+  directory::UpstreamId upstream = 0;
   Tag tag = 0;
   uint32_t acknowledged = 0;  // The caller's acknowledgement number.
   Instant data_sent_at;       // Identifies the request.
@@ -222,6 +237,12 @@
 // Maximum number of flows in TagSteering::overdue_flows.
 inline constexpr size_t kMaxOverdueFlows = 1'024;
 
+// Maximum number of tags in TagSteering::ambiguous_tags.
+inline constexpr size_t kMaxAmbiguousTags = 1'024;
+// Upstreams whose starts are at least this far apart are known by now in the
+// order of their starts: their clocks differ by less.
+inline constexpr Duration kStartOrderMargin = std::chrono::seconds(30);
+
 // A flow to reset; its caller is not expected to send another packet in time.
 struct StrandedFlow {
   TaggedFlow flow;
@@ -268,7 +289,12 @@
   std::map<std::string, uint32_t, std::less<>> domain_indexes;
   // Invariant: one for each entry of `directory`.
   std::map<directory::UpstreamId, TagUpstream> upstreams;
-  std::unordered_map<Tag, TagUpstream*> by_tag;
+  TagIndex tags;  // Of `upstreams`.
+  // Whether new flows get flow tags. Else they get the tags that hosts of
+  // earlier versions understand, unless another upstream has the same.
+  bool writes_flow_tags = true;
+  // Those found so far, whose clash was reported.
+  std::set<Tag> ambiguous_tags;
   // Services that have or had upstreams. Elements are never removed, since
   // `requests` refers to their loads.
   std::map<std::string, TagService, std::less<>> services;
@@ -302,6 +328,7 @@
   // Buffers that are reused for each new flow; entries correspond by index.
   std::vector<PlacementCandidate*> scratch_candidates;
   std::vector<TagUpstream*> scratch_upstreams;
+  std::vector<TagHolder> scratch_holders;
 };
 
 TagSteering MakeTagSteering(std::string failure_domain, uint64_t seed);
--- a/lib/Explain/diagnosis.cc
+++ b/lib/Explain/diagnosis.cc
@@ -211,6 +211,9 @@
   if (HasOutcome(diagnosis, "outranked")) {
     return Cause::kOutranked;
   }
+  if (HasOutcome(diagnosis, "ambiguous_tag")) {
+    return Cause::kAmbiguousTag;
+  }
   if (HasOutcome(diagnosis, "upstream_gone")) {
     return Cause::kStranded;
   }
@@ -310,6 +313,8 @@
       return "outranked";
     case Cause::kHostStarting:
       return "host_starting";
+    case Cause::kAmbiguousTag:
+      return "ambiguous_tag";
     case Cause::kStranded:
       return "stranded";
     case Cause::kUpstreamLost:
@@ -347,6 +352,10 @@
     case Cause::kHostStarting:
       return "the host had just started or had stalled, and did not know "
              "the service table or the upstream yet";
+    case Cause::kAmbiguousTag:
+      return "the flow's packets were dropped or the flow was refused, since "
+             "two upstreams had its tag; the caller may try again on a new "
+             "flow";
     case Cause::kStranded:
       return "the open flow was reset, since its upstream did not answer and "
              "was known to be gone or out of reach; the caller may repeat the "
--- a/lib/Node/control_feeds.cc
+++ b/lib/Node/control_feeds.cc
@@ -53,7 +53,8 @@
   peer.is_synced = true;
   peer.session->Send(Encode(KnownHosts()));
   peer.session->Send(Encode(FeedStatus{sent_is_current_}));
-  peer.session->Send(Encode(EntryHostCount{entry_host_counter_.sent_count}));
+  peer.session->Send(Encode(EntryHostCount{entry_host_counter_.sent_count,
+                                           entry_host_counter_.sent_support}));
   bool is_directory_equal =
       peer.hello.directory_digest != 0 &&
       peer.hello.directory_digest == directory::Digest(directory_);
--- a/lib/Node/control_links.cc
+++ b/lib/Node/control_links.cc
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <set>
+#include <span>
+#include <string>
 #include <utility>
 
 #include "acaciahold/Node/control_node.h"
@@ -43,7 +45,9 @@
                               .revision = state_.view.revision,
                               .understands_load = true}));
   connector.Send(Encode(MakeDirectoryRecords(ReadClock())));
-  connector.Send(Encode(ConnectedEntryHosts()));
+  for (const auto& report : MakeEntryHostReports(ConnectedEntryHosts())) {
+    connector.Send(Encode(report));
+  }
   if (driver_->Leader()) {
     connector.Send(Encode(KnownHosts()));
   }
@@ -89,26 +93,57 @@
          now < replica.last_contact_at + consensus::kElectionTimeoutMin;
 }
 
-EntryHosts ControlNode::ConnectedEntryHosts() const {
-  EntryHosts connected;
+std::vector<std::string> ControlNode::ConnectedEntryHosts() const {
+  std::vector<std::string> names;
   for (const auto& [id, peer] : peers_) {
     if (!peer.hello.name.empty() && !peer.hello.is_control) {
-      connected.names.push_back(peer.hello.name);
+      names.push_back(peer.hello.name);
+    }
+  }
+  return names;
+}
+
+// Returns the reports on these entry hosts for other control hosts: one on
+// those that understand flow tags, one on the others.
+std::vector<EntryHosts> ControlNode::MakeEntryHostReports(
+    std::span<const std::string> names) const {
+  EntryHosts readers{{}, true};
+  EntryHosts others{{}, false};
+  for (const auto& name : names) {
+    bool is_reader = entry_host_counter_.flow_tag_readers.contains(name);
+    (is_reader ? readers : others).names.push_back(name);
+  }
+  std::vector<EntryHosts> reports;
+  for (auto* it : {&readers, &others}) {
+    if (!it->names.empty()) {
+      reports.push_back(std::move(*it));
+    }
+  }
+  return reports;
+}
+
+void ControlNode::NoteConnectedFlowTagReaders(Instant now) {
+  for (const auto& [id, peer] : peers_) {
+    const auto& hello = peer.hello;
+    if (!hello.name.empty() && !hello.is_control) {
+      RenewEntryHostLeases(entry_host_counter_, std::span(&hello.name, 1), now);
+      NoteFlowTagReaders(entry_host_counter_, std::span(&hello.name, 1),
+                         hello.understands_flow_tags);
     }
   }
-  return connected;
 }
 
 // Updates the count of entry hosts, and reports those connected here to the
 // other control hosts.
 void ControlNode::UpdateEntryHostCount(Instant now) {
-  auto update =
-      TakeUpdate(entry_host_counter_, ConnectedEntryHosts().names, now);
-  if (!update.names.empty()) {
-    SendToControlHosts(EntryHosts{std::move(update.names)});
+  NoteConnectedFlowTagReaders(now);
+  auto update = TakeUpdate(entry_host_counter_, ConnectedEntryHosts(), now);
+  for (const auto& report : MakeEntryHostReports(update.names)) {
+    SendToControlHosts(report);
   }
   if (update.count) {
-    SendToEntryHosts(EntryHostCount{*update.count});
+    SendToEntryHosts(
+        EntryHostCount{*update.count, entry_host_counter_.sent_support});
   }
 }
 
--- a/lib/Node/control_node.cc
+++ b/lib/Node/control_node.cc
@@ -243,6 +243,10 @@
     OnLeaveAnswer(*answer);
   } else if (const auto* entries = std::get_if<EntryHosts>(&message)) {
     RenewEntryHostLeases(entry_host_counter_, entries->names, ReadClock());
+    if (entries->understand_flow_tags) {
+      NoteFlowTagReaders(entry_host_counter_, entries->names,
+                         *entries->understand_flow_tags);
+    }
   } else if (const auto* records = std::get_if<UpstreamRecords>(&message)) {
     OnRecords(*records);
   } else if (const auto* refreshes = std::get_if<RefreshNotices>(&message)) {
--- a/lib/Node/entry_node.cc
+++ b/lib/Node/entry_node.cc
@@ -144,6 +144,26 @@
   steering_.entry_hosts = count;
 }
 
+// Writes flow tags unless a connected feed reports hosts that don't understand
+// them. Keeps to the last decision while no feed knows.
+void EntryNode::UpdateFlowTagSupport() {
+  std::vector<FlowTagSupport> reports;
+  for (const auto& feed : feeds_) {
+    if (feed.is_connected) {
+      reports.push_back(feed.flow_tag_support);
+    }
+  }
+  auto support = CombineFlowTagSupport(reports);
+  bool writes_flow_tags = support == FlowTagSupport::kAll;
+  if (support == FlowTagSupport::kUnknown ||
+      writes_flow_tags == steering_.writes_flow_tags) {
+    return;
+  }
+  steering_.writes_flow_tags = writes_flow_tags;
+  LogEvent(EventPriority::kNotable, "flow_tags_changed",
+           {{"writes_flow_tags", writes_flow_tags}});
+}
+
 void EntryNode::UpdateReachability(Instant now) {
   auto reachabilities = FeedReachabilities();
   steering_.hears_feed = hears_feed();
@@ -221,6 +241,7 @@
             settings_.failure_domain,
             steering_.view.revision,
             has_complete_state ? directory::Digest(steering_.directory) : 0,
+            true,
             true}));
   steering::OnFeedBegin(steering_, feed);
 }
@@ -239,6 +260,7 @@
   feeds_[feed].is_sync_requested = false;
   feeds_[feed].is_current = false;
   feeds_[feed].understands_reports = false;
+  feeds_[feed].flow_tag_support = FlowTagSupport::kUnknown;
   OnSyncEnded(sync_, feed);
   UpdateEntryHostCount();
   feeds_[feed].removal_deadline = ReadClock() + kFeedTimeout;
@@ -274,7 +296,9 @@
     feeds_[feed].is_current = status->is_current;
   } else if (const auto* entries = std::get_if<EntryHostCount>(&message)) {
     feeds_[feed].entry_hosts = entries->count;
+    feeds_[feed].flow_tag_support = entries->flow_tag_support;
     UpdateEntryHostCount();
+    UpdateFlowTagSupport();
   } else if (const auto* suspects = std::get_if<SuspectedUpstreams>(&message)) {
     OnSuspects(*suspects);
   } else if (std::get_if<SameDirectory>(&message)) {
--- a/lib/Node/messages.cc
+++ b/lib/Node/messages.cc
@@ -28,7 +28,8 @@
           {"failure_domain", hello.failure_domain},
           {"revision", hello.revision},
           {"directory_digest", hello.directory_digest},
-          {"understands_load", hello.understands_load}};
+          {"understands_load", hello.understands_load},
+          {"understands_flow_tags", hello.understands_flow_tags}};
 }
 
 value EncodeDocument(const LogMessage& message) {
@@ -72,11 +73,18 @@
   for (const auto& name : message.names) {
     names.emplace_back(name);
   }
-  return {{"kind", "entry_hosts"}, {"names", std::move(names)}};
+  object document{{"kind", "entry_hosts"}, {"names", std::move(names)}};
+  if (message.understand_flow_tags) {
+    document["understand_flow_tags"] = *message.understand_flow_tags;
+  }
+  return document;
 }
 
 value EncodeDocument(const EntryHostCount& message) {
-  return {{"kind", "entry_count"}, {"count", message.count}};
+  return {
+      {"kind", "entry_count"},
+      {"count", message.count},
+      {"flow_tag_support", static_cast<uint32_t>(message.flow_tag_support)}};
 }
 
 value EncodeDocument(const FailureReport& message) {
@@ -149,12 +157,26 @@
   for (const auto& it : from.at("names").as_array()) {
     message.names.emplace_back(it.as_string());
   }
+  if (const auto* it = from.if_contains("understand_flow_tags")) {
+    message.understand_flow_tags = it->as_bool();
+  }
+  return message;
+}
+
+Message DecodeEntryHostCount(const object& from) {
+  EntryHostCount message{NumberAt<uint32_t>(from, "count")};
+  if (from.contains("flow_tag_support")) {
+    auto support = NumberAt<uint32_t>(from, "flow_tag_support");
+    if (support <= static_cast<uint32_t>(FlowTagSupport::kAll)) {
+      message.flow_tag_support = static_cast<FlowTagSupport>(support);
+    }
+  }
   return message;
 }
 
-// Hosts of earlier versions don't send the field.
-bool UnderstandsLoad(const object& hello) {
-  const auto* it = hello.if_contains("understands_load");
+// Returns the field of a Hello, which hosts of earlier versions don't send.
+bool Understands(const object& hello, std::string_view field) {
+  const auto* it = hello.if_contains(field);
   return it && it->as_bool();
 }
 
@@ -167,7 +189,8 @@
                  StringAt(from, "failure_domain"),
                  NumberAt<uint64_t>(from, "revision"),
                  NumberAt<uint64_t>(from, "directory_digest"),
-                 UnderstandsLoad(from)};
+                 Understands(from, "understands_load"),
+                 Understands(from, "understands_flow_tags")};
   }
   if (kind == "log") {
     return DecodeLog(from);
@@ -195,7 +218,7 @@
     return DecodeEntryHosts(from);
   }
   if (kind == "entry_count") {
-    return EntryHostCount{NumberAt<uint32_t>(from, "count")};
+    return DecodeEntryHostCount(from);
   }
   if (kind == "same_directory") {
     return SameDirectory{};
--- a/lib/Node/node_metrics.cc
+++ b/lib/Node/node_metrics.cc
@@ -121,6 +121,20 @@
   families.BeginFamily("acaciahold_requests_given_up_total",
                        "Flows that callers closed before an answer came");
   families.Add(steering.counts.given_up);
+  families.BeginFamily(
+      "acaciahold_ambiguous_tags_total",
+      "Packets of open flows whose tag several upstreams have");
+  families.Add(steering.counts.ambiguous);
+  families.BeginFamily(
+      "acaciahold_tag_clashes_total",
+      "Tags of new flows that another upstream has too, by what was done");
+  families.Add(steering.counts.clashes_avoided, "outcome", "avoided");
+  families.Add(steering.counts.clashes_refused, "outcome", "refused");
+  families.BeginFamily("acaciahold_writes_flow_tags",
+                       "Whether new flows get tags that hosts of earlier "
+                       "versions don't understand",
+                       kGauge);
+  families.Add(steering.writes_flow_tags ? 1 : 0);
   families.BeginFamily("acaciahold_stranded_flows_total",
                        "Packets of open flows answered by a reset since the "
                        "upstream is gone or out of reach, by evidence");
--- a/lib/Steering/tag_feeds.cc
+++ b/lib/Steering/tag_feeds.cc
@@ -45,12 +45,11 @@
   auto& upstream = it->second;
   if (is_new) {
     upstream.id = record.id;
-    upstream.tag = TagOf(record.id);
     upstream.entry = &entry;
     // The feeds that have not sent the upstream yet will send it soon, so they
     // don't count as silent.
     upstream.silent_feeds = 0;
-    steering.by_tag[upstream.tag] = &upstream;
+    AddToIndex(steering.tags, record.id, upstream);
   }
   if (is_new || upstream.service != record.service) {
     RemoveFromService(steering, upstream);
@@ -181,10 +180,7 @@
     auto it = steering.upstreams.find(id);
     AssertInvariant(it != steering.upstreams.end(),
                     "a removed directory entry has an upstream");
-    auto by_tag = steering.by_tag.find(it->second.tag);
-    if (by_tag != steering.by_tag.end() && by_tag->second == &it->second) {
-      steering.by_tag.erase(by_tag);
-    }
+    RemoveFromIndex(steering.tags, id);
     RemoveFromService(steering, it->second);
     steering.upstreams.erase(it);
   }
--- a/lib/Steering/tag_flows.cc
+++ b/lib/Steering/tag_flows.cc
@@ -4,6 +4,7 @@
 #include "tag_flows.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 #include "acaciahold/Support/hash.h"
@@ -67,7 +68,7 @@
 // Remembers to check for the next retransmission of the flow's data.
 void AwaitRepeat(TagSteering& steering,
                  uint64_t flow_hash,
-                 Tag tag,
+                 const TagUpstream& upstream,
                  Endpoint listener,
                  Instant now) {
   const auto* request = FindRequest(steering.requests, flow_hash);
@@ -77,7 +78,7 @@
   if (is_awaited) {
     uint32_t n = request->retransmissions;
     steering.awaited_repeats[n].push_back(
-        {flow_hash, tag, listener, request->data_sent_at, now});
+        {flow_hash, upstream.id, listener, request->data_sent_at, now});
   }
 }
 
@@ -98,7 +99,7 @@
                    const AwaitedRepeat& awaited,
                    uint32_t n,
                    bool is_second_chance) {
-  auto* upstream = FindTag(steering, awaited.tag);
+  auto* upstream = FindUpstream(steering, awaited.upstream);
   auto* request = FindRequest(steering.requests, awaited.flow_hash);
   if (!upstream || !request || !IsQuiet(*request, awaited, n)) {
     return;
@@ -271,32 +272,137 @@
   return is_overdue ? request : nullptr;
 }
 
+// Whether the listener sends new flows to the upstream's service.
+bool ServesListener(const TagUpstream& upstream,
+                    const catalog::Listener& listener) {
+  return std::any_of(
+      listener.targets.begin(), listener.targets.end(),
+      [&](const auto& it) { return it.service == upstream.service; });
+}
+
+// Removes the holders whose services the listener doesn't have, unless it has
+// none of theirs.
+void KeepServicesOf(const catalog::Listener& listener,
+                    std::vector<TagHolder>& holders) {
+  auto serves = [&](const TagHolder& it) {
+    return ServesListener(*it.upstream, listener);
+  };
+  if (std::any_of(holders.begin(), holders.end(), serves)) {
+    std::erase_if(holders, std::not_fn(serves));
+  }
+}
+
+// Returns the upstream that started before all others: hosts that know it don't
+// give the tag to flows of the others. Returns null if another one started at
+// about the same time.
+TagUpstream* FindOldest(std::vector<TagHolder> holders) {
+  auto born_ms = [](const TagHolder& it) {
+    return it.upstream->entry->record.born_ms;
+  };
+  std::ranges::sort(holders, {}, born_ms);
+  constexpr auto kMarginMs =
+      std::chrono::duration_cast<std::chrono::milliseconds>(kStartOrderMargin);
+  bool is_clear =
+      holders.size() == 1 ||
+      born_ms(holders[0]) + kMarginMs.count() <= born_ms(holders[1]);
+  return is_clear ? holders.front().upstream : nullptr;
+}
+
+// Returns the one of several upstreams with the tag to which the flow belongs;
+// null if it can't be told.
+//
+// A flow tag says nothing more: the flow was placed by a host that didn't know
+// the other upstream, whichever that is. With tags of earlier versions all
+// flows of the upstreams would be dropped, so the listener's service and the
+// order of the starts decide.
+TagUpstream* ChooseHolder(const TagSteering& steering,
+                          const TaggedFlow& flow,
+                          std::vector<TagHolder> holders) {
+  bool has_flow_tag =
+      std::any_of(holders.begin(), holders.end(),
+                  [](const TagHolder& it) { return it.has_flow_tag; });
+  if (has_flow_tag) {
+    return nullptr;
+  }
+  auto it = steering.listeners.find(PackEndpoint(flow.listener));
+  if (it != steering.listeners.end()) {
+    KeepServicesOf(*it->second, holders);
+  }
+  return FindOldest(std::move(holders));
+}
+
+// Counts the packet's tag, which several upstreams have. Returns two of them if
+// the tag was not found before.
+std::optional<TagClash> CountAmbiguousTag(TagSteering& steering, Tag tag) {
+  ++steering.counts.ambiguous;
+  if (steering.ambiguous_tags.size() >= kMaxAmbiguousTags) {
+    steering.ambiguous_tags.clear();
+  }
+  if (!steering.ambiguous_tags.insert(tag).second) {
+    return std::nullopt;
+  }
+  const auto& holders = steering.scratch_holders;
+  return TagClash{holders[0].upstream->id, holders[1].upstream->id};
+}
+
+// Decides on a packet of a flow that belongs to the upstream.
+TagDecision DecideOwned(TagSteering& steering,
+                        TagUpstream& upstream,
+                        const TaggedFlow& flow,
+                        uint64_t flow_hash,
+                        Tag tag,
+                        uint32_t requests,
+                        Instant now) {
+  auto& recent = steering.recent_openings[SlotOf(flow_hash)];
+  if (recent.flow_hash == flow_hash && !recent.is_resolved) {
+    recent.is_resolved = true;
+    OnAnswered(steering, upstream);
+    NoteLife(steering, upstream, now);
+    CountAnsweredOpening(steering, upstream, flow.listener);
+    CountAnswer(steering.counts, now - recent.placed_at);
+  }
+  if (IsStranded(steering, upstream, flow, requests > 0, now)) {
+    return {TagVerdict::kReset, TagReason::kUpstreamGone, upstream.id, {}, tag};
+  }
+  if (requests > 0) {
+    CountLoad(upstream.candidate.load, requests, now);
+  }
+  return Forward(upstream, tag, TagReason::kByTag);
+}
+
+// Decides on a packet whose tag several upstreams have, `owner` of which is
+// that of the flow; null: it can't be told.
+TagDecision DecideAmbiguous(TagSteering& steering,
+                            TagUpstream* owner,
+                            const TaggedFlow& flow,
+                            uint64_t flow_hash,
+                            Tag tag,
+                            uint32_t requests,
+                            Instant now) {
+  auto clash = CountAmbiguousTag(steering, tag);
+  TagDecision decision{TagVerdict::kDrop, TagReason::kAmbiguousTag, 0, {}, tag};
+  if (owner) {
+    decision =
+        DecideOwned(steering, *owner, flow, flow_hash, tag, requests, now);
+  }
+  decision.clash = clash;
+  return decision;
+}
+
 TagDecision DecideTagged(TagSteering& steering,
                          const TaggedFlow& flow,
                          Tag tag,
                          uint32_t requests,
                          Instant now) {
-  auto* upstream = FindTag(steering, tag);
-  if (!upstream) {
-    return {TagVerdict::kDrop, TagReason::kUnknownTag, 0, {}, tag};
-  }
   uint64_t hash = HashFlow(flow);
-  auto& recent = steering.recent_openings[SlotOf(hash)];
-  if (recent.flow_hash == hash && !recent.is_resolved) {
-    recent.is_resolved = true;
-    OnAnswered(steering, *upstream);
-    NoteLife(steering, *upstream, now);
-    CountAnsweredOpening(steering, *upstream, flow.listener);
-    CountAnswer(steering.counts, now - recent.placed_at);
+  auto* upstream = FindOwner(steering, flow, hash, tag);
+  if (steering.scratch_holders.size() > 1) {
+    return DecideAmbiguous(steering, upstream, flow, hash, tag, requests, now);
   }
-  if (IsStranded(steering, *upstream, flow, requests > 0, now)) {
-    return {
-        TagVerdict::kReset, TagReason::kUpstreamGone, upstream->id, {}, tag};
-  }
-  if (requests > 0) {
-    CountLoad(upstream->candidate.load, requests, now);
+  if (!upstream) {
+    return {TagVerdict::kDrop, TagReason::kUnknownTag, 0, {}, tag};
   }
-  return Forward(*upstream, TagReason::kByTag);
+  return DecideOwned(steering, *upstream, flow, hash, tag, requests, now);
 }
 
 }  // namespace
@@ -309,9 +415,21 @@
   return flow_hash % kRecentOpeningSlots;
 }
 
-TagUpstream* FindTag(TagSteering& steering, Tag tag) {
-  auto it = steering.by_tag.find(tag);
-  return it == steering.by_tag.end() ? nullptr : it->second;
+TagUpstream* FindUpstream(TagSteering& steering, directory::UpstreamId id) {
+  auto it = steering.upstreams.find(id);
+  return it == steering.upstreams.end() ? nullptr : &it->second;
+}
+
+TagUpstream* FindOwner(TagSteering& steering,
+                       const TaggedFlow& flow,
+                       uint64_t flow_hash,
+                       Tag tag) {
+  auto& holders = steering.scratch_holders;
+  FindHolders(steering.tags, tag, flow_hash, holders);
+  if (holders.size() <= 1) {
+    return holders.empty() ? nullptr : holders.front().upstream;
+  }
+  return ChooseHolder(steering, flow, holders);
 }
 
 ServiceLoad& LoadOf(TagSteering& steering, const TagUpstream& upstream) {
@@ -330,9 +448,8 @@
   return steering.domain_sights[DomainNameOf(upstream)];
 }
 
-TagDecision Forward(const TagUpstream& upstream, TagReason reason) {
-  return {TagVerdict::kForward, reason, upstream.id, upstream.endpoint,
-          upstream.tag};
+TagDecision Forward(const TagUpstream& upstream, Tag tag, TagReason reason) {
+  return {TagVerdict::kForward, reason, upstream.id, upstream.endpoint, tag};
 }
 
 void CountFailure(TagSteering& steering, TagUpstream& upstream) {
@@ -357,11 +474,11 @@
                 Tag tag,
                 const Progress& progress,
                 Instant now) {
-  auto* upstream = FindTag(steering, tag);
+  uint64_t hash = HashFlow(flow);
+  auto* upstream = FindOwner(steering, flow, hash, tag);
   auto* load = upstream ? &LoadOf(steering, *upstream) : nullptr;
   auto* route_load =
       upstream ? &RouteOf(steering, *upstream, flow.listener) : nullptr;
-  uint64_t hash = HashFlow(flow);
   auto result =
       OnCallerPacket(steering.requests, hash, load, route_load, progress, now);
   steering.progress = result;
@@ -373,11 +490,12 @@
     NoteProgress(steering, *upstream, result, now);
   }
   if (upstream && result.is_repeated) {
-    RememberOverdue(steering, hash,
-                    {flow, tag, progress.acknowledged, result.sent_at});
+    RememberOverdue(
+        steering, hash,
+        {flow, upstream->id, tag, progress.acknowledged, result.sent_at});
   }
   if (upstream && progress.has_data) {
-    AwaitRepeat(steering, hash, tag, flow.listener, now);
+    AwaitRepeat(steering, hash, *upstream, flow.listener, now);
   }
   if (upstream && result.is_failure) {
     CountFailure(steering, *upstream);
@@ -402,7 +520,7 @@
   std::erase_if(steering.overdue_flows, [&](const auto& it) {
     const auto& [hash, overdue] = it;
     const auto* request = FindOverdue(steering, hash, overdue, now);
-    auto* upstream = FindTag(steering, overdue.tag);
+    auto* upstream = FindUpstream(steering, overdue.upstream);
     if (!request || !upstream) {
       return true;
     }
--- a/lib/Steering/tag_flows.h
+++ b/lib/Steering/tag_flows.h
@@ -12,8 +12,15 @@
 // Returns the slot of a flow in TagSteering::recent_openings.
 uint32_t SlotOf(uint64_t flow_hash);
 
-// Returns null if the tag is unknown.
-TagUpstream* FindTag(TagSteering& steering, Tag tag);
+// Returns null if the upstream is unknown.
+TagUpstream* FindUpstream(TagSteering& steering, directory::UpstreamId id);
+
+// Returns the upstream of the flow whose packet has the tag; null if it is
+// unknown or can't be told. `scratch_holders` then has all that have the tag.
+TagUpstream* FindOwner(TagSteering& steering,
+                       const TaggedFlow& flow,
+                       uint64_t flow_hash,
+                       Tag tag);
 
 ServiceLoad& LoadOf(TagSteering& steering, const TagUpstream& upstream);
 
@@ -23,7 +30,7 @@
 Reachability& DomainOf(TagSteering& steering, const TagUpstream& upstream);
 DomainSight& DomainSightOf(TagSteering& steering, const TagUpstream& upstream);
 
-TagDecision Forward(const TagUpstream& upstream, TagReason reason);
+TagDecision Forward(const TagUpstream& upstream, Tag tag, TagReason reason);
 
 void CountFailure(TagSteering& steering, TagUpstream& upstream);
 void CountDecision(TagSteering& steering, const TagDecision& decision);
--- a/lib/Steering/tag_load.cc
+++ b/lib/Steering/tag_load.cc
@@ -110,16 +110,14 @@
   return AdmitAlone(load, rank, HostSlots(steering), now);
 }
 
-// Whether packets may have waited in this host, since it was paused for a
-// moment: the flow of a first opening may be open by a later copy then.
+}  // namespace
+
 bool MayHaveReadLate(const TagSteering& steering, Instant now) {
   bool has_ticked = steering.ticked_at != Instant();
   return now < steering.sight.trusted_from ||
          (has_ticked && now > steering.ticked_at + kMaxTickInterval);
 }
 
-}  // namespace
-
 std::optional<TagDecision> RefuseOpening(TagSteering& steering,
                                          const catalog::Listener& listener,
                                          const std::string& service_name,
--- a/lib/Steering/tag_load.h
+++ b/lib/Steering/tag_load.h
@@ -41,6 +41,10 @@
                    Endpoint listener,
                    const RequestProgress& progress);
 
+// Whether packets may have waited in this host, since it was paused for a
+// moment: the flow of a first opening may be open by a later copy then.
+bool MayHaveReadLate(const TagSteering& steering, Instant now);
+
 // Decides whether to refuse an opening of the listener for lack of room;
 // returns nothing if it is admitted. The scratch lists must hold the service's
 // upstreams that may take it.
--- a/lib/Steering/tag_steering.cc
+++ b/lib/Steering/tag_steering.cc
@@ -64,9 +64,13 @@
                    const TagDecision& decision,
                    Instant now) {
   uint32_t slot = SlotOf(flow_hash);
-  steering.recent_openings[slot] = {
-      flow_hash, opening.flow.listener, opening.sequence, decision.tag, now,
-      false};
+  steering.recent_openings[slot] = {flow_hash,
+                                    opening.flow.listener,
+                                    opening.sequence,
+                                    decision.upstream,
+                                    decision.tag,
+                                    now,
+                                    false};
   steering.pending_slots.push_back(slot);
   const auto& upstream = steering.upstreams.at(decision.upstream);
   auto& service = steering.services.find(upstream.service)->second;
@@ -74,18 +78,82 @@
                RouteOf(steering, service, opening.flow.listener), now);
 }
 
-// Chooses an upstream for a new flow, other than the one with the tag
-// `excluded_tag` unless there is no other. Refuses the flow for lack of room if
-// `may_refuse` is set.
+// Whether the upstream is the only one with the tag for the flow.
+bool IsSoleHolder(TagSteering& steering,
+                  const TagUpstream& upstream,
+                  uint64_t flow_hash,
+                  Tag tag) {
+  auto& holders = steering.scratch_holders;
+  FindHolders(steering.tags, tag, flow_hash, holders);
+  return holders.size() == 1 && holders.front().upstream == &upstream;
+}
+
+// Returns a tag for a new flow at the upstream that no other known upstream
+// has, or nothing if each of its tags clashes.
+std::optional<Tag> ChooseTag(TagSteering& steering,
+                             const TagUpstream& upstream,
+                             uint64_t flow_hash) {
+  if (!steering.writes_flow_tags) {
+    Tag tag = UpstreamTag(upstream.id);
+    if (IsSoleHolder(steering, upstream, flow_hash, tag)) {
+      return tag;
+    }
+    ++steering.counts.clashes_avoided;
+  }
+  for (uint32_t choice = 0; choice < kFlowTagChoices; ++choice) {
+    Tag tag = FlowTag(upstream.id, flow_hash, choice);
+    if (IsSoleHolder(steering, upstream, flow_hash, tag)) {
+      return tag;
+    }
+    ++steering.counts.clashes_avoided;
+  }
+  return std::nullopt;
+}
+
+struct Placement {
+  TagUpstream* upstream = nullptr;
+  Tag tag = 0;
+};
+
+// Picks one of the candidates in the scratch lists that has a tag of its own
+// for the flow; not `excluded` if there is another candidate. Returns nothing
+// if none has.
+std::optional<Placement> PickUpstream(TagSteering& steering,
+                                      TagService& service,
+                                      const TagUpstream* excluded,
+                                      uint64_t flow_hash,
+                                      Instant now) {
+  auto& candidates = steering.scratch_candidates;
+  auto& upstreams = steering.scratch_upstreams;
+  while (!upstreams.empty()) {
+    auto it = std::ranges::find(upstreams, excluded);
+    bool is_excluded = it != upstreams.end() && upstreams.size() > 1;
+    int chosen = PickCandidate(
+        service.scheduler, candidates,
+        static_cast<uint32_t>(steering.domain_indexes.size()),
+        is_excluded ? static_cast<int>(it - upstreams.begin()) : -1, now);
+    AssertInvariant(chosen >= 0, "a candidate that is not excluded is chosen");
+    auto& upstream = *upstreams[chosen];
+    if (auto tag = ChooseTag(steering, upstream, flow_hash)) {
+      return Placement{&upstream, *tag};
+    }
+    candidates.erase(candidates.begin() + chosen);
+    upstreams.erase(upstreams.begin() + chosen);
+  }
+  return std::nullopt;
+}
+
+// Chooses an upstream for a new flow, other than `excluded` unless there is no
+// other. Refuses the flow for lack of room if `may_refuse` is set.
 TagDecision PlaceFlow(TagSteering& steering,
                       const catalog::Listener& listener,
                       const std::string& service_name,
-                      Tag excluded_tag,
+                      uint64_t flow_hash,
+                      const TagUpstream* excluded,
                       bool may_refuse,
                       Instant now) {
   CollectCandidates(steering, service_name, now);
-  const auto& upstreams = steering.scratch_upstreams;
-  if (upstreams.empty()) {
+  if (steering.scratch_upstreams.empty()) {
     return {TagVerdict::kReset, TagReason::kNoUpstream, 0, {}, 0};
   }
   auto& service = steering.services.find(service_name)->second;
@@ -96,39 +164,37 @@
       return *refusal;
     }
   }
-  int excluded = -1;
-  for (size_t i = 0; i < upstreams.size(); ++i) {
-    if (upstreams[i]->tag == excluded_tag && upstreams.size() > 1) {
-      excluded = static_cast<int>(i);
-    }
+  auto placement = PickUpstream(steering, service, excluded, flow_hash, now);
+  if (!placement) {
+    // The flow's later packets would be dropped. The caller can try again with
+    // another flow, which has other tags.
+    ++steering.counts.clashes_refused;
+    bool is_refused = may_refuse && !MayHaveReadLate(steering, now);
+    return {is_refused ? TagVerdict::kReset : TagVerdict::kDrop,
+            TagReason::kAmbiguousTag,
+            0,
+            {},
+            0};
   }
-  int chosen = PickCandidate(
-      service.scheduler, steering.scratch_candidates,
-      static_cast<uint32_t>(steering.domain_indexes.size()), excluded, now);
-  AssertInvariant(chosen >= 0, "a candidate that is not excluded is chosen");
-  auto& upstream = *upstreams[chosen];
+  auto& upstream = *placement->upstream;
   if (upstream.candidate.is_cold) {
     upstream.cold_limiter.tokens -= 1;
   }
   LimitToOneProbe(upstream.reachability, kMaxUnanswered, now);
   LimitToOneProbe(DomainOf(steering, upstream),
                   MaxUnansweredInDomain(steering, upstream), now);
-  return Forward(upstream, TagReason::kPlaced);
+  return Forward(upstream, placement->tag, TagReason::kPlaced);
 }
 
 }  // namespace
 
-Tag TagOf(directory::UpstreamId id) {
-  auto tag = static_cast<Tag>(id ^ (id >> 32U));
-  return tag == 0 ? 1 : tag;
-}
-
 TagSteering MakeTagSteering(std::string failure_domain, uint64_t seed) {
   TagSteering steering;
   steering.domain_indexes.emplace(failure_domain, kOwnDomain);
   steering.failure_domain = std::move(failure_domain);
   steering.random.seed(seed);
   steering.recent_openings.resize(kRecentOpeningSlots);
+  steering.tags = MakeTagIndex();
   return steering;
 }
 
@@ -168,12 +234,13 @@
   auto& recent = steering.recent_openings[SlotOf(hash)];
   bool is_known =
       recent.flow_hash == hash && recent.sequence == opening.sequence;
-  auto* first_upstream = is_known ? FindTag(steering, recent.tag) : nullptr;
+  auto* first_upstream =
+      is_known ? FindUpstream(steering, recent.upstream) : nullptr;
   bool keeps_upstream =
       first_upstream &&
       (recent.is_resolved || now < recent.placed_at + kAnswerTimeout);
   if (keeps_upstream) {
-    return Forward(*first_upstream, TagReason::kRetransmission);
+    return Forward(*first_upstream, recent.tag, TagReason::kRetransmission);
   }
   if (first_upstream) {
     OnUnanswered(steering, *first_upstream, recent, now);
@@ -181,9 +248,8 @@
   // A retransmission is not refused: another host may have forwarded the first
   // packet, so that the flow may be open.
   bool may_refuse = !first_upstream && opening.copy == 0;
-  auto decision =
-      PlaceFlow(steering, *it->second, ServiceOf(*it->second, hash),
-                first_upstream ? first_upstream->tag : 0, may_refuse, now);
+  auto decision = PlaceFlow(steering, *it->second, ServiceOf(*it->second, hash),
+                            hash, first_upstream, may_refuse, now);
   if (decision.verdict == TagVerdict::kForward) {
     RecordOpening(steering, opening, hash, decision, now);
   }
@@ -263,7 +329,7 @@
       return;
     }
     steering.pending_slots.pop_front();
-    auto* upstream = FindTag(steering, recent.tag);
+    auto* upstream = FindUpstream(steering, recent.upstream);
     if (!recent.is_resolved && upstream) {
       OnUnanswered(steering, *upstream, recent, now);
     }
@@ -289,6 +355,8 @@
       return "no_upstream";
     case TagReason::kUnknownTag:
       return "unknown_tag";
+    case TagReason::kAmbiguousTag:
+      return "ambiguous_tag";
     case TagReason::kStalled:
       return "stalled";
     case TagReason::kOverloaded:
--- a/test/standins/packet_scenario.cc
+++ b/test/standins/packet_scenario.cc
@@ -33,6 +33,14 @@
 // time.
 constexpr milliseconds kAcknowledgeTimeout{5'000};
 
+// Returns the id of an upstream. Its decimal digits, which are read as hex,
+// have two equal halves of 8. Guards against flows that go to the wrong one of
+// two upstreams whose ids have the same XOR of their halves: all of these have.
+uint64_t MakeUpstreamId(uint64_t number) {
+  constexpr uint64_t kHalf = 100'000'000;
+  return number * kHalf + number;
+}
+
 }  // namespace
 
 PacketScenario::PacketScenario(PacketScenarioOptions options)
@@ -106,7 +114,7 @@
 }
 
 PacketUpstream& PacketScenario::AddUpstream(int domain_index) {
-  return Add(next_upstream_id_++, domain_index,
+  return Add(MakeUpstreamId(next_upstream_number_++), domain_index,
              fleet->LoopbackEndpoint(
                  kUpstreamSubnet, next_upstream_host_number_++, kUpstreamPort));
 }
--- a/test/standins/packet_scenario.h
+++ b/test/standins/packet_scenario.h
@@ -70,7 +70,7 @@
   PacketUpstream& Add(uint64_t id, int domain_index, Endpoint endpoint);
 
   PacketScenarioOptions options_;
-  uint64_t next_upstream_id_ = 1'001;
+  uint64_t next_upstream_number_ = 1'001;
   int next_upstream_host_number_ = 1;
   int64_t next_start_time_ms_ = 1;
   uint64_t version_ = 0;
--- a/unittests/Explain/diagnosis_test.cc
+++ b/unittests/Explain/diagnosis_test.cc
@@ -88,6 +88,17 @@
   BOOST_TEST(CauseName(diagnosis.cause) == "outranked");
 }
 
+BOOST_AUTO_TEST_CASE(FlowWhosePacketsWereDroppedForTheirTagReportsIt) {
+  auto diagnosis = DiagnoseFlow(
+      ParseLines(
+          kPlacedFlowLog +
+          DecisionLine(
+              3'000,
+              R"("event":"packet_dropped","outcome":"ambiguous_tag","upstream":0)")),
+      kQuery);
+  BOOST_TEST(CauseName(diagnosis.cause) == "ambiguous_tag");
+}
+
 // The log also shows the upstream's end, which is not what ended the flow.
 BOOST_AUTO_TEST_CASE(FlowThatWasResetSinceItsUpstreamIsGoneReportsIt) {
   auto diagnosis = DiagnoseFlow(
--- a/unittests/Node/control_feeds_test.cc
+++ b/unittests/Node/control_feeds_test.cc
@@ -45,6 +45,9 @@
   size_t records = 0;
   bool is_complete = false;
   uint64_t digest = 0;  // Directory digest sent in Hello.
+  // Sent in Hello.
+  bool understands_flow_tags = true;
+  FlowTagSupport flow_tag_support = FlowTagSupport::kUnknown;
 };
 
 struct Deployment {
@@ -79,6 +82,7 @@
       client.connector = link::Connector::Create(io, ControlLink());
       Hello hello{
           "entry-" + std::to_string(i), false, {}, "north", 0, client.digest};
+      hello.understands_flow_tags = client.understands_flow_tags;
       client.connector->Start(
           {[&client, hello] { client.connector->Send(Encode(hello)); },
            [&client](std::string_view bytes) { Count(client, bytes); }, [] {}});
@@ -96,6 +100,9 @@
     if (const auto* records = std::get_if<UpstreamRecords>(&*message)) {
       client.records += records->records.size();
     }
+    if (const auto* count = std::get_if<EntryHostCount>(&*message)) {
+      client.flow_tag_support = count->flow_tag_support;
+    }
     client.is_complete |= std::holds_alternative<SyncComplete>(*message);
   }
 
@@ -129,6 +136,22 @@
 
 }  // namespace
 
+// Guards against flow tags that an entry host of an earlier version would drop.
+BOOST_AUTO_TEST_CASE(EntryHostsLearnWhetherAllUnderstandFlowTags) {
+  for (bool has_earlier_version : {false, true}) {
+    Deployment deployment("acaciahold-flow-tags", 3);
+    deployment.clients[1].understands_flow_tags = !has_earlier_version;
+    deployment.Connect();
+    auto expected =
+        has_earlier_version ? FlowTagSupport::kNotAll : FlowTagSupport::kAll;
+    BOOST_TEST(deployment.WaitUntil(kStartTimeout, [&] {
+      return deployment.AllClients([&](const EntryHostClient& it) {
+        return it.flow_tag_support == expected;
+      });
+    }));
+  }
+}
+
 // Guards against one message per changed upstream: when 180 upstreams change at
 // once, as in a release, each entry host must get the changes in few messages
 // and within kPropagationTime, whatever the number of entry hosts.
--- a/unittests/Node/entry_host_counter_test.cc
+++ b/unittests/Node/entry_host_counter_test.cc
@@ -87,4 +87,63 @@
   BOOST_TEST(TakeUpdate(counter, MakeNames(0, 3), later).names.size() == 3U);
 }
 
+// Guards against flow tags while an entry host that doesn't understand them is
+// connected to any control host.
+BOOST_AUTO_TEST_CASE(FlowTagsAreSupportedOnceAllEntryHostsUnderstandThem) {
+  auto counter = MakeEntryHostCounter(kStart);
+  Instant now = kStart + kEntryCountDelay;
+  auto support = [&] {
+    now += kTick;
+    TakeUpdate(counter, MakeNames(0, 2), now);
+    return counter.sent_support;
+  };
+  BOOST_CHECK(counter.sent_support == FlowTagSupport::kUnknown);
+  RenewEntryHostLeases(counter, MakeNames(0, 3), now);
+  NoteFlowTagReaders(counter, MakeNames(0, 2), true);
+  BOOST_CHECK(support() == FlowTagSupport::kNotAll);
+  NoteFlowTagReaders(counter, MakeNames(2, 1), true);
+  BOOST_CHECK(support() == FlowTagSupport::kAll);
+  // The third returns to the earlier version, and is then removed.
+  NoteFlowTagReaders(counter, MakeNames(2, 1), false);
+  BOOST_CHECK(support() == FlowTagSupport::kNotAll);
+  now += kEntryHostLease;
+  NoteFlowTagReaders(counter, MakeNames(0, 2), true);
+  BOOST_CHECK(support() == FlowTagSupport::kAll);
+}
+
+// Guards against waiting for the next full report when an entry host starts
+// again in another version.
+BOOST_AUTO_TEST_CASE(HostIsReportedAgainWhenItsSupportOfFlowTagsChanges) {
+  auto counter = MakeEntryHostCounter(kStart);
+  TakeUpdate(counter, MakeNames(0, 2), kStart);
+  NoteFlowTagReaders(counter, MakeNames(1, 1), true);
+  auto update = TakeUpdate(counter, MakeNames(0, 2), kStart + kTick);
+  BOOST_TEST(update.names == MakeNames(1, 1), boost::test_tools::per_element());
+}
+
+// A change of the support alone is sent to entry hosts too.
+BOOST_AUTO_TEST_CASE(ChangedSupportOfFlowTagsIsSentWithTheCount) {
+  auto counter = MakeEntryHostCounter(kStart);
+  Instant now = kStart + kEntryCountDelay;
+  TakeUpdate(counter, MakeNames(0, 2), now);
+  NoteFlowTagReaders(counter, MakeNames(0, 2), true);
+  auto update = TakeUpdate(counter, MakeNames(0, 2), now + kTick);
+  BOOST_TEST(update.count.value_or(0) == 2U);
+  update = TakeUpdate(counter, MakeNames(0, 2), now + 2 * kTick);
+  BOOST_TEST(!update.count.has_value());
+}
+
+// Guards against flow tags when one of several control hosts knows of an entry
+// host that doesn't understand them.
+BOOST_AUTO_TEST_CASE(OneReportOfAnEarlierVersionDecides) {
+  using enum FlowTagSupport;
+  auto combine = [](std::vector<FlowTagSupport> reports) {
+    return CombineFlowTagSupport(reports);
+  };
+  BOOST_CHECK(combine({kAll, kNotAll, kUnknown}) == kNotAll);
+  BOOST_CHECK(combine({kUnknown, kAll}) == kAll);
+  BOOST_CHECK(combine({kUnknown, kUnknown}) == kUnknown);
+  BOOST_CHECK(combine({}) == kUnknown);
+}
+
 }  // namespace acaciahold::node
--- a/unittests/Node/messages_test.cc
+++ b/unittests/Node/messages_test.cc
@@ -88,8 +88,12 @@
   BOOST_TEST(RoundTrip(FeedStatus{true}).is_current);
   RoundTrip(SyncComplete{});
   RoundTrip(SameDirectory{});
-  BOOST_TEST(RoundTrip(EntryHosts{{"e1", "e2"}}).names[1] == "e2");
-  BOOST_TEST(RoundTrip(EntryHostCount{7}).count == 7U);
+  auto entry_hosts = RoundTrip(EntryHosts{{"e1", "e2"}, true});
+  BOOST_TEST(entry_hosts.names[1] == "e2");
+  BOOST_TEST(entry_hosts.understand_flow_tags.value_or(false));
+  auto count = RoundTrip(EntryHostCount{7, FlowTagSupport::kAll});
+  BOOST_TEST(count.count == 7U);
+  BOOST_CHECK(count.flow_tag_support == FlowTagSupport::kAll);
   catalog::ViewChange change;
   change.revision = 4;
   BOOST_CHECK(RoundTrip(change) == change);
@@ -121,6 +125,35 @@
   BOOST_TEST(!std::get<Hello>(*decoded).understands_load);
 }
 
+// Guards against flow tags in packets that reach entry hosts of an earlier
+// version, which drop them.
+BOOST_AUTO_TEST_CASE(HostsOfAnEarlierVersionDoNotUnderstandFlowTags) {
+  auto decode = [](std::string text) {
+    return DecodeMessage(
+        wire::EncodeControlMessage(wire::Document{std::move(text)}));
+  };
+  Hello hello;
+  hello.understands_flow_tags = true;
+  BOOST_TEST(RoundTrip(hello).understands_flow_tags);
+  auto old_hello =
+      decode(R"({"kind":"hello","name":"h","is_control":false,"link":0,)"
+             R"("failure_domain":"north","revision":0,"directory_digest":0})");
+  BOOST_REQUIRE(old_hello.has_value());
+  BOOST_TEST(!std::get<Hello>(*old_hello).understands_flow_tags);
+  auto old_hosts = decode(R"({"kind":"entry_hosts","names":["e1"]})");
+  BOOST_REQUIRE(old_hosts.has_value());
+  BOOST_TEST(
+      !std::get<EntryHosts>(*old_hosts).understand_flow_tags.has_value());
+  for (const auto* text : {R"({"kind":"entry_count","count":7})",
+                           R"({"kind":"entry_count","count":7,)"
+                           R"("flow_tag_support":9})"}) {
+    auto count = decode(text);
+    BOOST_REQUIRE(count.has_value());
+    BOOST_CHECK(std::get<EntryHostCount>(*count).flow_tag_support ==
+                FlowTagSupport::kNotAll);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(MalformedMessagesAreRejected) {
   for (std::string_view text :
        {"", "{", "[]", "{\"kind\":\"what\"}", "{\"kind\":\"hello\"}",
--- a/unittests/Steering/stranded_flow_test.cc
+++ b/unittests/Steering/stranded_flow_test.cc
@@ -399,8 +399,8 @@
   for (const auto& fault : {Fault(MakeSuspected), Fault(MakeSilent)}) {
     auto host = MakeHost();
     fault(host);
-    host.LeaveOverdue(1, TagOf(2));
-    host.Send(1, TagOf(2), {120, 90, false, false});
+    host.LeaveOverdue(1, UpstreamTag(2));
+    host.Send(1, UpstreamTag(2), {120, 90, false, false});
     host.LeaveOverdue(2, kOwn);
     BOOST_TEST(host.TryAll(3, kOwn) == 0);
     host.Wait(kLateAnswerTime);
--- a/unittests/Steering/stranded_host.h
+++ b/unittests/Steering/stranded_host.h
@@ -86,8 +86,8 @@
   // another.
   void AnswerOthers() {
     ++answers;
-    Send(400, TagOf(2), {answers, answers, false, false});
-    Send(400, TagOf(2), {answers, answers, true, false});
+    Send(400, UpstreamTag(2), {answers, answers, false, false});
+    Send(400, UpstreamTag(2), {answers, answers, true, false});
   }
 
   // The upstream answers a request of another caller.
@@ -138,7 +138,7 @@
   host.steering.entry_hosts = 10;
   host.Wait(seconds(6));
   for (uint32_t id = 1; id <= 4; ++id) {
-    host.Answer(TagOf(id));
+    host.Answer(UpstreamTag(id));
   }
   host.Wait(milliseconds(100));
   TakeLoadReport(host.steering);
--- a/unittests/Steering/tag_steering_test.cc
+++ b/unittests/Steering/tag_steering_test.cc
@@ -144,7 +144,7 @@
   auto steering = MakeSteering();
   auto flow = MakeOpening(1).flow;
   auto send = [&](const TaggedFlow& on, uint32_t sequence) {
-    return OnProgress(steering, on, TagOf(1), {sequence, 50, true, false},
+    return OnProgress(steering, on, UpstreamTag(1), {sequence, 50, true, false},
                       kStart);
   };
   BOOST_TEST(!send(flow, 100));
@@ -165,17 +165,21 @@
   auto steering = MakeSteering();
   auto answered = MakeOpening(1).flow;
   auto given_up = MakeOpening(2).flow;
-  OnProgress(steering, answered, TagOf(1), {100, 50, true, false}, kStart);
-  OnProgress(steering, answered, TagOf(1), {120, 90, false, true}, kStart);
+  OnProgress(steering, answered, UpstreamTag(1), {100, 50, true, false},
+             kStart);
+  OnProgress(steering, answered, UpstreamTag(1), {120, 90, false, true},
+             kStart);
   BOOST_TEST(TakeFailures(steering).empty());
-  OnProgress(steering, given_up, TagOf(2), {100, 50, true, false}, kStart);
-  OnProgress(steering, given_up, TagOf(2), {120, 50, false, true}, kStart);
+  OnProgress(steering, given_up, UpstreamTag(2), {100, 50, true, false},
+             kStart);
+  OnProgress(steering, given_up, UpstreamTag(2), {120, 50, false, true},
+             kStart);
   BOOST_TEST(steering.counts.given_up == 1U);
   BOOST_TEST((TakeFailures(steering) ==
               std::vector<directory::UpstreamFailures>{{2, 1}}));
   // A flow whose data passed another host is not counted here.
-  OnProgress(steering, MakeOpening(3).flow, TagOf(3), {120, 50, false, true},
-             kStart);
+  OnProgress(steering, MakeOpening(3).flow, UpstreamTag(3),
+             {120, 50, false, true}, kStart);
   BOOST_TEST(TakeFailures(steering).empty());
 }
 
@@ -235,7 +239,8 @@
   auto counts = OpenFlows(steering, 10, 60, kStart);
   BOOST_TEST(counts[1] == 0);
   // Its open flows continue.
-  auto open = OnTagged(steering, MakeOpening(1).flow, TagOf(1), 1, kStart);
+  auto open =
+      OnTagged(steering, MakeOpening(1).flow, UpstreamTag(1), 1, kStart);
   BOOST_CHECK(open.verdict == TagVerdict::kForward);
   auto view = MakeView(2);
   view.domains_out = {"north"};
@@ -510,7 +515,7 @@
   BOOST_CHECK(OnOpening(steering, MakeOpening(2), wake).reason ==
               TagReason::kStalled);
   // Open flows continue at once.
-  auto open = OnTagged(steering, MakeOpening(3).flow, TagOf(2), 1, wake);
+  auto open = OnTagged(steering, MakeOpening(3).flow, UpstreamTag(2), 1, wake);
   BOOST_CHECK(open.verdict == TagVerdict::kForward);
   OnTick(steering, wake + milliseconds(100));
   OnTick(steering, wake + kStallRecoveryTime);
@@ -550,7 +555,8 @@
   OnRecord(steering, 0, gone, kStart);
   RemoveOldUpstreams(steering, kStart + directory::kRetentionTime);
   BOOST_TEST(steering.upstreams.size() == 5U);
-  auto decision = OnTagged(steering, MakeOpening(1).flow, TagOf(2), 1, kStart);
+  auto decision =
+      OnTagged(steering, MakeOpening(1).flow, UpstreamTag(2), 1, kStart);
   BOOST_CHECK(decision.reason == TagReason::kUnknownTag);
 }
 
