Refuse an upstream's id whose number is 0

An id of zeros was taken as an upstream. In packets the number 0 stands for any upstream, so whichever one listens at the address takes its flows.

Ids that are read as the same number, with capital letters or leading zeros, stay one upstream, as packets address upstreams by the number alone; a test says so now.

--- a/unittests/platform/codecs_test.cc
+++ b/unittests/platform/codecs_test.cc
@@ -116,6 +116,29 @@
   BOOST_CHECK(!ParseUpstreamId("i-00112233445566778"));
 }
 
+// Upstreams are addressed by the number: texts that are read as the same number
+// are one upstream.
+BOOST_AUTO_TEST_CASE(UpstreamIdsAreEqualIfTheirNumbersAre) {
+  BOOST_TEST(*ParseUpstreamId("i-7F3A91C2") == 0x7f3a91c2U);
+  BOOST_TEST(*ParseUpstreamId("i-000000007f3a91c2") == 0x7f3a91c2U);
+}
+
+// Guards against an upstream with the number 0, whose packets any other one at
+// its address would take.
+BOOST_AUTO_TEST_CASE(RejectsTheUpstreamIdThatStandsForAny) {
+  for (const auto* text : {"i-0", "i-0000000000000000"}) {
+    std::string error;
+    leaf::try_handle_all(
+        [&]() -> Result<void> {
+          BOOST_LEAF_CHECK(ParseUpstreamId(text));
+          return {};
+        },
+        [&](const FieldError& e) { error = Describe(e); }, [] {});
+    BOOST_TEST(error.find("id") != std::string::npos);
+    BOOST_TEST(error.find(text) != std::string::npos);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ParsesHeartbeat) {
   auto record = ParseHeartbeat(5, kHeartbeat);
   BOOST_REQUIRE(record.has_value());
