Let the directory digest cover every field that placement uses

What callers would see: an entry host that lost its feed while an upstream changed its service, endpoint, failure domain or slots without a new start was told that its directory is the same, and went on sending flows to the former service or address.

Cause: the digest stood for whole records but had only id, start and phase.

Change: the digest hashes what directory::Merge compares to tell a change. Hosts of an earlier version compute another digest and so get the whole directory, as after a start.

DigestCoversEachFieldThatPlacementUses failed its 5 checks before and passes.

--- a/include/acaciahold/Directory/directory.h
+++ b/include/acaciahold/Directory/directory.h
@@ -126,9 +126,11 @@
 // at least kRetentionTime ago. Returns their ids.
 std::vector<UpstreamId> RemoveExpiredEntries(Directory& directory, Instant now);
 
-// Digest over the id, start time and phase of each upstream that is neither
-// gone nor silent; 0 if there is none. Control hosts and entry hosts compare it
-// to skip the transfer of directories that place new flows alike.
+// Digest over the record of each upstream that is neither gone nor silent, but
+// for its sequence number and warm-up time; 0 if there is none. Control hosts
+// and entry hosts compare it to skip the transfer of directories that place new
+// flows alike. Hosts of earlier versions compute another one, so that they
+// transfer the directory.
 uint64_t Digest(const Directory& directory);
 
 // The record to send to other hosts at `now`, with the warm-up time that
--- a/lib/Directory/directory.cc
+++ b/lib/Directory/directory.cc
@@ -22,6 +22,18 @@
          a.phase == b.phase && a.born_ms == b.born_ms;
 }
 
+// Hashes all fields that IsEquivalent compares.
+uint64_t HashRecord(const Record& record) {
+  uint64_t hash = HashText(record.service);
+  hash = HashText(record.failure_domain, hash);
+  for (uint64_t it : {record.id, static_cast<uint64_t>(record.born_ms),
+                      static_cast<uint64_t>(record.phase),
+                      PackEndpoint(record.endpoint), uint64_t{record.slots}}) {
+    hash = CombineHashes(hash, it);
+  }
+  return hash;
+}
+
 void RemoveFromService(Directory& directory, const Record& record) {
   auto it = directory.by_service.find(record.service);
   if (it == directory.by_service.end()) {
@@ -142,12 +154,9 @@
 uint64_t Digest(const Directory& directory) {
   uint64_t digest = 0;
   for (const auto& [id, entry] : directory.entries) {
-    const auto& record = entry.record;
-    if (entry.is_silent || record.phase == Phase::kGone) {
-      continue;
+    if (!entry.is_silent && entry.record.phase != Phase::kGone) {
+      digest ^= HashRecord(entry.record);
     }
-    auto start = CombineHashes(id, static_cast<uint64_t>(record.born_ms));
-    digest ^= CombineHashes(start, static_cast<uint64_t>(record.phase));
   }
   return digest;
 }
--- a/unittests/Directory/directory_test.cc
+++ b/unittests/Directory/directory_test.cc
@@ -3,6 +3,9 @@
 
 #include "acaciahold/Directory/directory.h"
 
+#include <functional>
+#include <vector>
+
 #include <boost/test/unit_test.hpp>
 
 namespace acaciahold::directory {
@@ -145,6 +148,29 @@
   BOOST_TEST(Digest(silent) == 0U);
 }
 
+// Guards against an entry host that goes on sending flows to the former service
+// or endpoint of an upstream, since it missed the record that changed it and is
+// told that its directory is the same.
+BOOST_AUTO_TEST_CASE(DigestCoversEachFieldThatPlacementUses) {
+  Directory directory;
+  Merge(directory, MakeRecord(1, 5, 1), kStart);
+  auto digest_with = [&](const std::function<void(Record&)>& change) {
+    auto changed = directory;
+    auto record = MakeRecord(1, 5, 2);
+    change(record);
+    BOOST_CHECK(Merge(changed, record, kStart) == UpdateResult::kChanged);
+    return Digest(changed);
+  };
+  for (const auto& change : std::vector<std::function<void(Record&)>>{
+           [](Record& it) { it.service += "x"; },
+           [](Record& it) { it.failure_domain += "x"; },
+           [](Record& it) { ++it.endpoint.port; },
+           [](Record& it) { ++it.endpoint.address; },
+           [](Record& it) { ++it.slots; }}) {
+    BOOST_TEST(digest_with(change) != Digest(directory));
+  }
+}
+
 // Guards against a phase change that is never applied: the record with it was
 // lost with its connection, and a refresh notice of a later announcement, sent
 // by a third host, would make that record stale. The notice carries the phase.
