--- a/unittests/platform/codecs_test.cc
+++ b/unittests/platform/codecs_test.cc
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstring>
+#include <functional>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
@@ -116,6 +117,43 @@
   BOOST_CHECK(!ParseUpstreamId("i-00112233445566778"));
 }
 
+// Guards against a packet that is not sent since another one of its caller with
+// the same sequence number waits for the link: the first request of a flow
+// after the acknowledgement that opened it, a later acknowledgement, a packet
+// of a flow to another listener or upstream.
+BOOST_AUTO_TEST_CASE(OnlyRetransmissionsHaveTheKeyOfAPacket) {
+  PacketHeader request;
+  request.flow = {{1, 4'000}, {7, 443}};
+  request.sequence = 100;
+  request.acknowledged = 50;
+  request.data_bytes = 60;
+  auto key = RetransmissionKey(request, 1);
+  auto repeated = request;
+  repeated.acknowledged = 80;
+  repeated.tag = 9;
+  BOOST_TEST(RetransmissionKey(repeated, 1) == key);
+  BOOST_TEST(RetransmissionKey(request, 2) != key);
+  auto changed = [&](const std::function<void(PacketHeader&)>& change) {
+    auto header = request;
+    change(header);
+    return RetransmissionKey(header, 1);
+  };
+  BOOST_TEST(changed([](auto& it) { it.data_bytes = 0; }) != key);
+  BOOST_TEST(changed([](auto& it) { it.is_closing = true; }) != key);
+  BOOST_TEST(changed([](auto& it) { it.sequence = 160; }) != key);
+  BOOST_TEST(changed([](auto& it) { it.flow.listener.port = 444; }) != key);
+  auto bare = request;
+  bare.data_bytes = 0;
+  auto later = bare;
+  later.acknowledged = 80;
+  BOOST_TEST(RetransmissionKey(later, 1) != RetransmissionKey(bare, 1));
+  PacketHeader opening;
+  opening.is_opening = true;
+  auto copy = opening;
+  copy.acknowledged = 1;
+  BOOST_TEST(RetransmissionKey(copy, 1) == RetransmissionKey(opening, 1));
+}
+
 // Upstreams are addressed by the number: texts that are read as the same number
 // are one upstream.
 BOOST_AUTO_TEST_CASE(UpstreamIdsAreEqualIfTheirNumbersAre) {
