--- a/bench/tagged.cc
+++ b/bench/tagged.cc
@@ -74,6 +74,10 @@
   }
 }
 
+uint64_t HashFlow(const steering::TaggedFlow& flow) {
+  return CombineHashes(PackEndpoint(flow.caller), PackEndpoint(flow.listener));
+}
+
 struct TaggedPacket {
   steering::TaggedFlow flow;
   steering::Tag tag = 0;
@@ -88,9 +92,8 @@
   while (packets.size() < kPackets) {
     uint64_t i = random() % flows;
     auto flow = MakeFlow(i);
-    auto hash =
-        CombineHashes(PackEndpoint(flow.caller), PackEndpoint(flow.listener));
-    packets.push_back({flow, steering::FlowTag(1 + i % kUpstreams, hash, 0)});
+    auto tag = steering::FlowTag(1 + i % kUpstreams, HashFlow(flow), 0);
+    packets.push_back({flow, tag});
   }
   return packets;
 }
@@ -188,8 +191,9 @@
 
   static std::vector<std::byte> MakePacket() {
     std::vector<std::byte> packet(kPacketSize);
-    packet[4] = std::byte{32};  // ACK
-    platform::WriteTag(packet, steering::UpstreamTag(1));
+    packet[4] = std::byte{32};     // ACK
+    uint64_t hash = HashFlow({});  // The addresses are 0.
+    platform::WriteTag(packet, steering::FlowTag(1, hash, 0));
     packet[32] = std::byte{kPacketSize - platform::kPacketHeaderBytes};
     return packet;
   }
