Leave upstreams that have left out of the choice between equal former tags

While hosts of an earlier version run, a packet's tag may be the former tag of two upstreams. If the older one had left, or only its departure was known, it was chosen as the older one, and the flows of the living one were lost.

FlowsOfAnEarlierVersionAreNotSentToAnUpstreamThatLeft failed while the rule was missing and passes with it.

--- a/include/acaciahold/Steering/tag_steering.h
+++ b/include/acaciahold/Steering/tag_steering.h
@@ -136,7 +136,7 @@
   uint64_t given_up = 0;      // Flows that callers closed without an answer.
   // Later packets whose tag several upstreams have.
   uint64_t ambiguous = 0;
-  // New flows without their upstream's first tag, as another has it too.
+  // Tags that new flows did not get, since another upstream has them too.
   uint64_t clashes_avoided = 0;
   // New flows for which no upstream had a tag of its own.
   uint64_t clashes_refused = 0;
@@ -239,8 +239,9 @@
 
 // Maximum number of tags in TagSteering::ambiguous_tags.
 inline constexpr size_t kMaxAmbiguousTags = 1'024;
-// Upstreams whose starts are at least this far apart are known by now in the
-// order of their starts: their clocks differ by less.
+// Which of two upstreams was known first can be told if their starts are at
+// least this far apart: their clocks differ, and records take a while to
+// arrive.
 inline constexpr Duration kStartOrderMargin = std::chrono::seconds(30);
 
 // A flow to reset; its caller is not expected to send another packet in time.
@@ -293,7 +294,7 @@
   // Whether new flows get flow tags. Else they get the tags that hosts of
   // earlier versions understand, unless another upstream has the same.
   bool writes_flow_tags = true;
-  // Those found so far, whose clash was reported.
+  // Tags of packets that several upstreams have and that were reported.
   std::set<Tag> ambiguous_tags;
   // Services that have or had upstreams. Elements are never removed, since
   // `requests` refers to their loads.
--- a/lib/Steering/tag_flows.cc
+++ b/lib/Steering/tag_flows.cc
@@ -308,13 +308,22 @@
   return is_clear ? holders.front().upstream : nullptr;
 }
 
+// Removes the holders that have left, unless all have. An upstream that left
+// holds no flows.
+void RemoveGone(std::vector<TagHolder>& holders) {
+  auto is_gone = [](const TagHolder& it) { return IsGone(*it.upstream); };
+  if (!std::all_of(holders.begin(), holders.end(), is_gone)) {
+    std::erase_if(holders, is_gone);
+  }
+}
+
 // Returns the one of several upstreams with the tag to which the flow belongs;
 // null if it can't be told.
 //
 // A flow tag says nothing more: the flow was placed by a host that didn't know
 // the other upstream, whichever that is. With tags of earlier versions all
-// flows of the upstreams would be dropped, so the listener's service and the
-// order of the starts decide.
+// flows of the upstreams would be dropped, so what is known of the upstreams
+// decides.
 TagUpstream* ChooseHolder(const TagSteering& steering,
                           const TaggedFlow& flow,
                           std::vector<TagHolder> holders) {
@@ -324,6 +333,7 @@
   if (has_flow_tag) {
     return nullptr;
   }
+  RemoveGone(holders);
   auto it = steering.listeners.find(PackEndpoint(flow.listener));
   if (it != steering.listeners.end()) {
     KeepServicesOf(*it->second, holders);
--- a/unittests/Steering/flow_tags_test.cc
+++ b/unittests/Steering/flow_tags_test.cc
@@ -244,6 +244,21 @@
   BOOST_TEST(IsKeptBy({&host}, open));
 }
 
+// Guards against sending flows to an upstream that has left, or of which only
+// the departure is known, while another one with their tag lives.
+BOOST_AUTO_TEST_CASE(FlowsOfAnEarlierVersionAreNotSentToAnUpstreamThatLeft) {
+  auto gone = Older();
+  gone.phase = directory::Phase::kGone;
+  directory::Record departure;
+  departure.id = kOlder;
+  departure.phase = directory::Phase::kGone;
+  OpenFlow open{MakeFlow(1, kFeedListener), UpstreamTag(kNewer), kNewer};
+  for (const auto& left : {gone, departure}) {
+    auto host = MakeHost({Newer("feed"), left});
+    BOOST_TEST(IsKeptBy({&host}, open));
+  }
+}
+
 // Clocks of machines differ: which of two upstreams of a service started first
 // can't be told if they started at about the same time.
 BOOST_AUTO_TEST_CASE(FlowsOfAnEarlierVersionAreDroppedIfTheStartsAreClose) {
