--- a/unittests/Steering/tag_clash_test.cc
+++ b/unittests/Steering/tag_clash_test.cc
@@ -122,6 +122,25 @@
   BOOST_TEST(kept == at_newer);
 }
 
+// Guards against an index that follows anything but the id: an upstream that
+// changes its service, endpoint or failure domain, or comes back on another
+// machine, keeps its flows and its place beside the other one.
+BOOST_AUTO_TEST_CASE(OpenFlowsFollowAnUpstreamThatChangesUnderItsId) {
+  auto host = MakeHost({Older(), Newer("feed")});
+  auto flows = OpenFlows(host, kFeedListener, 1, kFlows);
+  auto moved = Newer("archive");
+  moved.sequence = 2;
+  moved.endpoint.address += 5;
+  moved.failure_domain = "south";
+  OnRecord(host, 0, moved, kStart);
+  BOOST_TEST(CountKept(host, flows) == kFlows);
+  for (const auto& it : flows) {
+    if (it.upstream == kNewer) {
+      BOOST_CHECK(SendLater(host, it).endpoint == moved.endpoint);
+    }
+  }
+}
+
 // Guards against load, signs of life and answers that are counted for the other
 // upstream with the tag.
 BOOST_AUTO_TEST_CASE(RequestsAreCountedForTheUpstreamOfTheirFlow) {
