Keep the settings of an entry host under test in one place

Cause: load_reporter_test and flow_tag_support_test each had the function. Change: one header for both; what the tests check is unchanged.

--- a/unittests/Node/flow_tag_support_test.cc
+++ b/unittests/Node/flow_tag_support_test.cc
@@ -10,6 +10,7 @@
 
 #include "acaciahold/Link/link.h"
 #include "acaciahold/Node/entry_node.h"
+#include "entry_settings.h"
 
 namespace acaciahold::node {
 namespace {
@@ -23,18 +24,9 @@
   return {(127U << 24U) | (93U << 16U) | host, 7'740};
 }
 
-NodeSettings EntrySettings() {
-  NodeSettings settings;
-  settings.name = "entry-1";
-  settings.failure_domain = "north";
-  settings.link_port = ControlLink().port;
-  settings.seeds = {{ControlLink().address, 8'000}};
-  return settings;
-}
-
 // A control host that sends what the test says.
 struct FakeControlHost {
-  FakeControlHost() : entry(io, EntrySettings()) {
+  FakeControlHost() : entry(io, EntrySettings(ControlLink())) {
     auto opened =
         link::Listener::Listen(io, ControlLink(), [this](auto accepted) {
           accepted->Start(
--- a/unittests/Node/load_reporter_test.cc
+++ b/unittests/Node/load_reporter_test.cc
@@ -14,6 +14,7 @@
 #include "acaciahold/Node/control_node.h"
 #include "acaciahold/Node/entry_node.h"
 #include "acaciahold/Node/node_metrics.h"
+#include "entry_settings.h"
 
 namespace acaciahold::node {
 namespace {
@@ -219,23 +220,10 @@
   BOOST_TEST(sums[1] == 0U);
 }
 
-namespace {
-
-NodeSettings EntrySettings() {
-  NodeSettings settings;
-  settings.name = "entry-1";
-  settings.failure_domain = "north";
-  settings.link_port = ControlLink().port;
-  settings.seeds = {{ControlLink().address, 8'000}};
-  return settings;
-}
-
-}  // namespace
-
 BOOST_AUTO_TEST_CASE(EntryHostReportsAndReceivesDigests) {
   Deployment deployment;
   deployment.SetTable(1, {.priority = 0});
-  EntryNode entry(deployment.io, EntrySettings());
+  EntryNode entry(deployment.io, EntrySettings(ControlLink()));
   entry.Start([] {});
   BOOST_TEST(deployment.WaitUntil([&] {
     return deployment.control->load().reporters == 1 &&
@@ -275,7 +263,7 @@
     sessions.push_back(session);
   });
   BOOST_REQUIRE(listener);
-  EntryNode entry(io, EntrySettings());
+  EntryNode entry(io, EntrySettings(ControlLink()));
   entry.Start([] {});
   io.run_for(4 * std::chrono::ceil<milliseconds>(load::kReportInterval));
   BOOST_TEST(hellos == 1U);
