--- a/unittests/Steering/tag_steering_test.cc
+++ b/unittests/Steering/tag_steering_test.cc
@@ -9,6 +9,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "acaciahold/Support/hash.h"
+
 namespace acaciahold::steering {
 namespace {
 
@@ -230,6 +232,44 @@
   BOOST_TEST(second.upstream != first.upstream);
 }
 
+// Guards against mixing up two flows with the same slot for recent openings:
+// the answer to one must not count for the other, nor may a copy of either
+// opening follow the other to its upstream.
+BOOST_AUTO_TEST_CASE(FlowsThatShareASlotAreToldApart) {
+  auto slot_of = [](const TaggedFlow& flow) {
+    return CombineHashes(PackEndpoint(flow.caller),
+                         PackEndpoint(flow.listener)) %
+           kRecentOpeningSlots;
+  };
+  auto opening = MakeOpening(1);
+  uint32_t other_caller = 2;
+  while (slot_of(MakeOpening(other_caller).flow) != slot_of(opening.flow)) {
+    ++other_caller;
+  }
+  auto steering = MakeSteering();
+  auto first = OnOpening(steering, opening, kStart);
+  auto other = OnOpening(steering, MakeOpening(other_caller), kStart);
+  BOOST_REQUIRE(other.upstream != first.upstream);
+  const auto& recent = steering.recent_openings[slot_of(opening.flow)];
+  BOOST_TEST(recent.upstream == other.upstream);
+
+  auto later = OnTagged(steering, opening.flow, first.tag, 0, kStart);
+  BOOST_TEST(later.upstream == first.upstream);
+  BOOST_TEST(!recent.is_resolved);
+  auto copy = OnOpening(steering, MakeOpening(other_caller, 1), kStart);
+  BOOST_CHECK(copy.reason == TagReason::kRetransmission);
+  BOOST_TEST(copy.upstream == other.upstream);
+  // The older flow has lost its slot; its copy is placed as on another host.
+  auto old_copy = OnOpening(steering, MakeOpening(1, 1), kStart);
+  BOOST_CHECK(old_copy.reason == TagReason::kPlaced);
+  // Each flow's packets still go to the upstream of their tag.
+  BOOST_TEST(OnTagged(steering, opening.flow, first.tag, 0, kStart).upstream ==
+             first.upstream);
+  BOOST_TEST(
+      OnTagged(steering, MakeOpening(other_caller).flow, other.tag, 0, kStart)
+          .upstream == other.upstream);
+}
+
 BOOST_AUTO_TEST_CASE(DrainingOrExcludedUpstreamsGetNoNewFlows) {
   auto steering = MakeSteering();
   auto draining = MakeRecord(1, "north");
