Decide again on flow tags when a control host is gone

What callers saw: nothing; found by reading the change once more. An entry host that was connected to a control host of an earlier version writes former tags. When that control host was replaced for good, the entry host did not decide again: the other control hosts report only what changes. It went on with former tags, which may clash, until the number of entry hosts changed.

Cause: the decision was made on a report alone, not on the loss of one. Change: it is made as well when a feed closes or is no longer followed. The Hello of an entry host names its fields.

EntryHostWritesFlowTagsOnceTheControlHostInDoubtIsGone failed before and passes; the test's entry host now has two control hosts.

--- a/lib/Node/entry_node.cc
+++ b/lib/Node/entry_node.cc
@@ -235,14 +235,13 @@
   OnSyncStarted(sync_, feed, now);
   bool has_complete_state = steering_.has_synced_feed;
   feeds_[feed].connector->Send(Encode(
-      Hello{settings_.name,
-            false,
-            {},
-            settings_.failure_domain,
-            steering_.view.revision,
-            has_complete_state ? directory::Digest(steering_.directory) : 0,
-            true,
-            true}));
+      Hello{.name = settings_.name,
+            .failure_domain = settings_.failure_domain,
+            .revision = steering_.view.revision,
+            .directory_digest =
+                has_complete_state ? directory::Digest(steering_.directory) : 0,
+            .understands_load = true,
+            .understands_flow_tags = true}));
   steering::OnFeedBegin(steering_, feed);
 }
 
@@ -263,6 +262,7 @@
   feeds_[feed].flow_tag_support = FlowTagSupport::kUnknown;
   OnSyncEnded(sync_, feed);
   UpdateEntryHostCount();
+  UpdateFlowTagSupport();
   feeds_[feed].removal_deadline = ReadClock() + kFeedTimeout;
   LogEvent(EventPriority::kNotable, "feed_lost",
            {{"link", FormatEndpoint(feeds_[feed].to)}});
@@ -459,6 +459,7 @@
   feeds_[feed].connector->Stop();
   feeds_[feed] = {};
   OnSyncEnded(sync_, feed);
+  UpdateFlowTagSupport();
   steering::OnFeedLost(steering_, feed, ReadClock());
 }
 
