--- a/lib/Steering/tag_flows.cc
+++ b/lib/Steering/tag_flows.cc
@@ -4,11 +4,11 @@
 #include "tag_flows.h"
 
 #include <algorithm>
-#include <functional>
 #include <utility>
 
 #include "acaciahold/Support/hash.h"
 #include "tag_load.h"
+#include "tag_owner.h"
 
 namespace acaciahold::steering {
 namespace {
@@ -142,10 +142,6 @@
          steering.domains_without_control.contains(DomainNameOf(upstream));
 }
 
-bool IsGone(const TagUpstream& upstream) {
-  return upstream.entry->record.phase == directory::Phase::kGone;
-}
-
 // Whether half of the service's upstreams became silent lately or are suspected
 // now. Those that have been gone or silent for longer don't count.
 bool IsWidespread(const TagSteering& steering,
@@ -272,89 +268,6 @@
   return is_overdue ? request : nullptr;
 }
 
-// Whether the listener sends new flows to the upstream's service.
-bool ServesListener(const TagUpstream& upstream,
-                    const catalog::Listener& listener) {
-  return std::any_of(
-      listener.targets.begin(), listener.targets.end(),
-      [&](const auto& it) { return it.service == upstream.service; });
-}
-
-// Removes the holders whose services the listener doesn't have, unless it has
-// none of theirs.
-void KeepServicesOf(const catalog::Listener& listener,
-                    std::vector<TagHolder>& holders) {
-  auto serves = [&](const TagHolder& it) {
-    return ServesListener(*it.upstream, listener);
-  };
-  if (std::any_of(holders.begin(), holders.end(), serves)) {
-    std::erase_if(holders, std::not_fn(serves));
-  }
-}
-
-// Returns the upstream that started before all others: hosts that know it don't
-// give the tag to flows of the others. Returns null if another one started at
-// about the same time.
-TagUpstream* FindOldest(std::vector<TagHolder> holders) {
-  auto born_ms = [](const TagHolder& it) {
-    return it.upstream->entry->record.born_ms;
-  };
-  std::ranges::sort(holders, {}, born_ms);
-  constexpr auto kMarginMs =
-      std::chrono::duration_cast<std::chrono::milliseconds>(kStartOrderMargin);
-  bool is_clear =
-      holders.size() == 1 ||
-      born_ms(holders[0]) + kMarginMs.count() <= born_ms(holders[1]);
-  return is_clear ? holders.front().upstream : nullptr;
-}
-
-// Removes the holders that have left, unless all have. An upstream that left
-// holds no flows.
-void RemoveGone(std::vector<TagHolder>& holders) {
-  auto is_gone = [](const TagHolder& it) { return IsGone(*it.upstream); };
-  if (!std::all_of(holders.begin(), holders.end(), is_gone)) {
-    std::erase_if(holders, is_gone);
-  }
-}
-
-// Returns the one of several upstreams with the tag to which the flow belongs;
-// null if it can't be told.
-//
-// A flow tag says nothing more: the flow was placed by a host that didn't know
-// the other upstream, whichever that is. With tags of earlier versions all
-// flows of the upstreams would be dropped, so what is known of the upstreams
-// decides.
-TagUpstream* ChooseHolder(const TagSteering& steering,
-                          const TaggedFlow& flow,
-                          std::vector<TagHolder> holders) {
-  bool has_flow_tag =
-      std::any_of(holders.begin(), holders.end(),
-                  [](const TagHolder& it) { return it.has_flow_tag; });
-  if (has_flow_tag) {
-    return nullptr;
-  }
-  RemoveGone(holders);
-  auto it = steering.listeners.find(PackEndpoint(flow.listener));
-  if (it != steering.listeners.end()) {
-    KeepServicesOf(*it->second, holders);
-  }
-  return FindOldest(std::move(holders));
-}
-
-// Counts the packet's tag, which several upstreams have. Returns two of them if
-// the tag was not found before.
-std::optional<TagClash> CountAmbiguousTag(TagSteering& steering, Tag tag) {
-  ++steering.counts.ambiguous;
-  if (steering.ambiguous_tags.size() >= kMaxAmbiguousTags) {
-    steering.ambiguous_tags.clear();
-  }
-  if (!steering.ambiguous_tags.insert(tag).second) {
-    return std::nullopt;
-  }
-  const auto& holders = steering.scratch_holders;
-  return TagClash{holders[0].upstream->id, holders[1].upstream->id};
-}
-
 // Decides on a packet of a flow that belongs to the upstream.
 TagDecision DecideOwned(TagSteering& steering,
                         TagUpstream& upstream,
@@ -430,16 +343,8 @@
   return it == steering.upstreams.end() ? nullptr : &it->second;
 }
 
-TagUpstream* FindOwner(TagSteering& steering,
-                       const TaggedFlow& flow,
-                       uint64_t flow_hash,
-                       Tag tag) {
-  auto& holders = steering.scratch_holders;
-  FindHolders(steering.tags, tag, flow_hash, holders);
-  if (holders.size() <= 1) {
-    return holders.empty() ? nullptr : holders.front().upstream;
-  }
-  return ChooseHolder(steering, flow, holders);
+bool IsGone(const TagUpstream& upstream) {
+  return upstream.entry->record.phase == directory::Phase::kGone;
 }
 
 ServiceLoad& LoadOf(TagSteering& steering, const TagUpstream& upstream) {
--- a/lib/Steering/tag_flows.h
+++ b/lib/Steering/tag_flows.h
@@ -15,12 +15,8 @@
 // Returns null if the upstream is unknown.
 TagUpstream* FindUpstream(TagSteering& steering, directory::UpstreamId id);
 
-// Returns the upstream of the flow whose packet has the tag; null if it is
-// unknown or can't be told. `scratch_holders` then has all that have the tag.
-TagUpstream* FindOwner(TagSteering& steering,
-                       const TaggedFlow& flow,
-                       uint64_t flow_hash,
-                       Tag tag);
+// Whether the upstream has announced that it left.
+bool IsGone(const TagUpstream& upstream);
 
 ServiceLoad& LoadOf(TagSteering& steering, const TagUpstream& upstream);
 
