Take a tag for a former one while hosts of an earlier version run

What callers saw: nothing; found by reading the change once more. A host of an earlier version gives a flow the tag of its upstream without a look at the flow tags of others. Where another upstream had it as a flow tag, newer hosts dropped the flow's packets: at 15,000 upstreams some ten in a million of the flows that are open during an upgrade (15,000 times 3 in 2^32, worked out).

Cause: two holders, one of them by a flow tag, always counted as not to be told apart. Change: while not all entry hosts understand flow tags, the holder by the former tag has the flow. After that either may, and the packet is dropped as before.

--- a/lib/Steering/tag_owner.cc
+++ b/lib/Steering/tag_owner.cc
@@ -56,20 +56,32 @@
   }
 }
 
+bool HasFlowTag(const TagHolder& holder) {
+  return holder.has_flow_tag;
+}
+
+// Removes the holders of flow tags unless all are.
+void KeepFormerTags(std::vector<TagHolder>& holders) {
+  if (!std::all_of(holders.begin(), holders.end(), HasFlowTag)) {
+    std::erase_if(holders, HasFlowTag);
+  }
+}
+
 // Returns the one of several upstreams with the tag to which the flow belongs;
 // null if it can't be told.
 //
 // A flow tag says nothing more: the flow was placed by a host that didn't know
 // the other upstream, whichever that is. With tags of earlier versions all
 // flows of the upstreams would be dropped, so what is known of the upstreams
-// decides.
+// decides. While hosts of earlier versions run, a tag is rather one of theirs:
+// they don't avoid the flow tags of others, and few flows have flow tags.
 TagUpstream* ChooseHolder(const TagSteering& steering,
                           const TaggedFlow& flow,
                           std::vector<TagHolder> holders) {
-  bool has_flow_tag =
-      std::any_of(holders.begin(), holders.end(),
-                  [](const TagHolder& it) { return it.has_flow_tag; });
-  if (has_flow_tag) {
+  if (!steering.writes_flow_tags) {
+    KeepFormerTags(holders);
+  }
+  if (std::any_of(holders.begin(), holders.end(), HasFlowTag)) {
     return nullptr;
   }
   RemoveGone(holders);
--- a/unittests/Steering/flow_tags_test.cc
+++ b/unittests/Steering/flow_tags_test.cc
@@ -244,6 +244,30 @@
   BOOST_TEST(IsKeptBy({&host}, open));
 }
 
+// Guards against dropping a flow that an earlier version placed, since its tag
+// is also a flow tag of another upstream, for which no such host would use it.
+BOOST_AUTO_TEST_CASE(FlowsOfAnEarlierVersionStayIfTheirTagIsAFlowTagToo) {
+  auto flow = MakeFlow(kClashCaller, kFeedListener);
+  auto tag = FlowTag(kNewer, HashOf(flow), 0);
+  directory::UpstreamId former = tag;
+  BOOST_REQUIRE(UpstreamTag(former) == tag);
+  for (const auto* service : {"feed", "archive"}) {
+    for (auto born_ms : {kOlderBornMs, 2 * kNewerBornMs}) {
+      auto record = MakeRecord(former, "feed", born_ms);
+      auto host = MakeHost({record, Newer(service)});
+      auto reverse = MakeHost({Newer(service), record});
+      for (auto* it : {&host, &reverse}) {
+        it->writes_flow_tags = false;
+        BOOST_TEST(IsKeptBy({it}, {flow, tag, former}));
+        // Later it may be either's.
+        it->writes_flow_tags = true;
+        auto decision = SendLater(*it, {flow, tag, former});
+        BOOST_CHECK(decision.reason == TagReason::kAmbiguousTag);
+      }
+    }
+  }
+}
+
 // Guards against sending flows to an upstream that has left, or of which only
 // the departure is known, while another one with their tag lives.
 BOOST_AUTO_TEST_CASE(FlowsOfAnEarlierVersionAreNotSentToAnUpstreamThatLeft) {
