--- a/unittests/Node/flow_tag_support_test.cc
+++ b/unittests/Node/flow_tag_support_test.cc
@@ -61,7 +61,7 @@
 
   static NodeSettings Settings() {
     auto settings = EntrySettings(ControlLink(kFirstNetwork));
-    settings.seeds.emplace_back(ControlLink(kSecondNetwork).address, 8'000);
+    settings.seeds.push_back({ControlLink(kSecondNetwork).address, 8'000});
     return settings;
   }
 
